Check a configuration file whole, and keep it as a generation or refuse it whole

A file was parsed up to its first fault, and what the list and the settings held was checked in three places. internal/config now reads it whole: all faults at once, each naming its field, duplicate names and figures out of range among them. What passes is an immutable generation with number, digest and time; a file that changes a field fixed until a restart is refused. The same code serves the start, SIGHUP and the new 'pepperfall check FILE'. The list moves to internal/roster, since both the file and discovery bring it. Only a file that is no whole JSON object is read again: one that is whole and faulty can't be half written, and is refused at once. A known list that can't be used is a warning, as before.

--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -5,14 +5,20 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
+	"strings"
 	"syscall"
+	"time"
 
+	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/internal/node"
 )
 
@@ -24,23 +30,71 @@
 	gcPercent  = 400 // the heap is small: memory is spent to save CPU
 )
 
-func main() { os.Exit(run()) }
+const usage = `usage: pepperfall             serve, with the configuration file that GW_CONFIG names
+       pepperfall check FILE  tell every fault in a configuration file
+
+check ends with 0 if the file can be used and with 2 if not. The GW_ variables
+count for it as they do at a start; a fault in a field that they set is theirs.
+`
+
+func main() { os.Exit(start(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// start does what the arguments ask for.
+func start(args []string, out, errs io.Writer) int {
+	switch {
+	case len(args) == 0:
+		return run()
+	case len(args) == 1 && slices.Contains([]string{"-h", "-help", "--help", "help"}, args[0]):
+		fmt.Fprint(out, usage)
+		return 0
+	case len(args) == 2 && args[0] == "check" && !strings.HasPrefix(args[1], "-"):
+		return check(args[1], out, errs)
+	}
+	fmt.Fprint(errs, usage)
+	return exitConfig
+}
+
+// check tells what is wrong with a file, a line for each fault.
+func check(path string, out, errs io.Writer) int {
+	raw, err := config.ReadFile(path)
+	var f *config.File
+	if err == nil {
+		f, err = config.Source{Getenv: os.Getenv}.Parse(raw)
+	}
+	var faults config.Faults
+	switch {
+	case errors.As(err, &faults):
+		for _, fault := range faults {
+			fmt.Fprintf(errs, "%s: %s\n", path, fault)
+		}
+		return exitConfig
+	case err != nil:
+		fmt.Fprintf(errs, "%s: %v\n", path, err)
+		return exitConfig
+	}
+	for _, w := range f.Warnings {
+		fmt.Fprintf(errs, "%s: warning: %s\n", path, w)
+	}
+	fmt.Fprintf(out, "%s: good, digest %s\n", path, config.DigestOf(raw))
+	return 0
+}
 
 func run() int {
 	hup := make(chan os.Signal, 1) // caught from the start: by default it would end the process
 	signal.Notify(hup, syscall.SIGHUP)
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	runtime.GOMAXPROCS(1) // an edge node has one core
-	cfg, err := node.LoadConfig(os.Getenv)
+	history, err := config.Start(config.Source{Getenv: os.Getenv}, time.Now())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "pepperfall: configuration:", err)
 		return exitConfig
 	}
+	cfg := history.Current().File
 	debug.SetGCPercent(gcPercent)
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
-	n, err := node.New(cfg)
+	n, err := node.New(history)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "pepperfall:", err)
 		return exitConfig
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,255 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const testSettings = `{"me":0,"balancers":1,"zone":"a","tick_ms":1,"discovery":"push",
+ "caps":{"max_attempts":3,"peers":true,"cancel":true,"retry_after":true,"max_retry_after_ms":1500.0,"dial_timeout_ms":250.0,"conn_idle_ms":15000.0},
+ "family_info":{"largest":6,"mail_per_s":60},"report":{"names":["cpu","rps"]},"rules":{"drain_grace_ms":250,"cold_share":0.2},
+ "classes":[{"name":"lookup","aim_ms":400.0,"hard_limit_ms":10000.0,"semantics":"repeatable","group":"all"},
+  {"name":"loan","aim_ms":1000,"hard_limit_ms":10000,"semantics":"by_key","group":"cell","window_ms":2500}],
+ "plans":[{"name":"town"},{"name":"tiny","rate":0.5,"store_size":4}]}`
+
+const testFile = `{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","peer_listen":"127.0.0.1:0","peers":["127.0.0.1:5"],
+ "seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"new_field":{"of":"the platform"},"settings":` + testSettings + `}`
+
+func none(string) string { return "" }
+
+func parse(text string) (*File, error) { return Source{none}.Parse([]byte(text)) }
+
+// Each fault names its field, and all of them are found at once.
+func TestFaults(t *testing.T) {
+	if f, err := parse(testFile); err != nil || len(f.Warnings) > 0 || f.Sockets != 1024 || len(f.Settings.Plans) != 2 {
+		t.Fatal(f, err)
+	}
+	changes := []struct{ field, from, to string }{
+		{"listen", `"listen":"127.0.0.1:0"`, `"listen":"here"`},
+		{"discovery", `"127.0.0.1:1"`, `""`},
+		{"name", `"name":"n0"`, `"name":7`},
+		{"peers[0]", `"127.0.0.1:5"`, `"five"`},
+		{"peers", `["127.0.0.1:5"]`, `[]`},
+		{"peer_listen", `"peer_listen":"127.0.0.1:0"`, `"peer_listen":"x"`},
+		{"limits.sockets", `"sockets":1024`, `"sockets":3`},
+		{"limits.sockets", `"sockets":1024`, `"sockets":"many"`},
+		{"limits.memory_mb", `"memory_mb":192`, `"memory_mb":-1`},
+		{"admin", `"limits"`, `"admin":"10.0.0.1:80","limits"`},
+		{"admin", `"limits"`, `"admin":"localhost","limits"`},
+		{"state_dir", `"limits"`, `"state_dir":"here","limits"`},
+		{"settings", `"settings":{`, `"settings":{},"x":{`},
+		{"settings", `"settings":{`, `"x":{`},
+		{"settings.me", `"me":0`, `"me":1`},
+		{"settings.balancers", `"balancers":1`, `"balancers":0`},
+		{"settings.balancers", `"balancers":1`, `"balancers":1e300`},
+		{"settings.tick_ms", `"tick_ms":1`, `"tick_ms":0`},
+		{"settings.caps.cancel", `"cancel":true`, `"cancel":"often"`},
+		{"settings.caps.max_attempts", `"max_attempts":3`, `"max_attempts":-3`},
+		{"settings.caps.dial_timeout_ms", `"dial_timeout_ms":250.0`, `"dial_timeout_ms":-1`},
+		{"settings.rules.cold_share", `"cold_share":0.2`, `"cold_share":2`},
+		{"settings.family_info.largest", `"largest":6`, `"largest":70000`},
+		{"settings.family_info.mail_per_s", `"mail_per_s":60`, `"mail_per_s":-1`},
+		{"settings.classes.0.semantics", `"repeatable"`, `"often"`},
+		{"settings.classes.0.group", `"group":"all"`, `"group":"some"`},
+		{"settings.classes.0.aim_ms", `"aim_ms":400.0`, `"aim_ms":"long"`},
+		{"settings.classes.0.hard_limit_ms", `"hard_limit_ms":10000.0`, `"hard_limit_ms":0`},
+		{"settings.classes.1.window_ms", `"window_ms":2500`, `"window_ms":-2`},
+		{"settings.classes.1.name", `"name":"loan"`, `"name":"lookup"`},
+		{"settings.classes.0.name", `"name":"lookup"`, `"name":""`},
+		{"settings.plans.1.name", `"name":"tiny"`, `"name":"town"`},
+		{"settings.plans.1.rate", `"rate":0.5`, `"rate":-0.5`},
+		{"settings.plans.1.store_size", `"store_size":4`, `"store_size":0`},
+		{"settings.plans", `"plans":[{"name":"town"},{"name":"tiny","rate":0.5,"store_size":4}]`, `"plans":[]`},
+	}
+	for _, c := range changes {
+		text := strings.Replace(testFile, c.from, c.to, 1)
+		if text == testFile {
+			t.Fatalf("%s: nothing changed", c.field)
+		}
+		_, err := parse(text)
+		var faults Faults
+		if !errors.As(err, &faults) || len(faults) != 1 || faults[0].Field != c.field {
+			t.Errorf("%s: %v", c.field, err)
+		}
+	}
+	twice := strings.Replace(testFile, `["127.0.0.1:5"]`, `["127.0.0.1:5","127.0.0.1:5"]`, 1)
+	if _, err := parse(twice); err == nil || !strings.Contains(err.Error(), "peers[1]: 127.0.0.1:5 is there twice") {
+		t.Errorf("%v, want peers[1]", err)
+	}
+	all := strings.NewReplacer(`"listen":"127.0.0.1:0"`, `"listen":"here"`, `"sockets":1024`, `"sockets":3`,
+		`"aim_ms":400.0`, `"aim_ms":-1`, `"rate":0.5`, `"rate":"x"`, `"repeatable"`, `"often"`).Replace(testFile)
+	var faults Faults
+	if _, err := parse(all); !errors.As(err, &faults) || len(faults) != 5 {
+		t.Errorf("%v, want five faults", err)
+	}
+	for _, text := range []string{``, `{`, `null`, `[]`, `{"name":"n0"} more`, testFile[:len(testFile)-2]} {
+		if _, err := parse(text); !errors.Is(err, ErrUnreadable) {
+			t.Errorf("%q: %v", text[:min(len(text), 30)], err)
+		}
+	}
+}
+
+// A list that can't be used is no reason not to start: discovery brings another.
+func TestKnownListIsNoSetting(t *testing.T) {
+	for known, want := range map[string]int{`null`: 0, `{"rev":3,"targets":[]}`: 0, `7`: 1,
+		`{"targets":[{"uid":"s-1","state":"ASLEEP"}]}`: 1} {
+		f, err := parse(strings.Replace(testFile, `"limits"`, `"known":`+known+`,"limits"`, 1))
+		if err != nil || len(f.Warnings) != want {
+			t.Errorf("%s: %v, %v", known, err, f)
+		}
+	}
+}
+
+// bench is a history with its file and its time.
+type bench struct {
+	*History
+	t    *testing.T
+	path string
+	now  time.Time
+}
+
+func newBench(t *testing.T) *bench {
+	t.Helper()
+	b := &bench{t: t, path: filepath.Join(t.TempDir(), "config.json"), now: time.Unix(1e9, 0)}
+	b.write(testFile)
+	h, err := Start(Source{func(key string) string { return map[string]string{"GW_CONFIG": b.path}[key] }}, b.now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.History = h
+	return b
+}
+
+func (b *bench) write(text string) {
+	b.t.Helper()
+	if err := os.WriteFile(b.path, []byte(text), 0o600); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// offer writes a file and takes it if it may be taken.
+func (b *bench) offer(from, to string) error {
+	b.t.Helper()
+	b.write(strings.Replace(testFile, from, to, 1))
+	b.now = b.now.Add(time.Second)
+	g, err := b.Offer(b.now, false)
+	if err == nil {
+		b.Accept(g)
+	}
+	return err
+}
+
+// A refused file between two good ones changes nothing, and is kept to be seen.
+func TestRefusedBetweenGood(t *testing.T) {
+	b := newBench(t)
+	if err := b.offer(`"127.0.0.1:1"`, `"127.0.0.1:2"`); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.offer(`"127.0.0.1:1"`, `"no port"`); err == nil || b.Refused() == nil || b.Current().Number != 2 ||
+		b.Current().File.Discovery != "127.0.0.1:2" {
+		t.Errorf("%v, %v, %+v", err, b.Refused(), b.Current())
+	}
+	if err := b.offer(`"127.0.0.1:1"`, `"127.0.0.1:3"`); err != nil || b.Current().Number != 3 ||
+		b.Current().File.Discovery != "127.0.0.1:3" || b.Before().Number != 2 || b.Refused() != nil {
+		t.Errorf("%v, %+v, %+v", err, b.Current(), b.Before())
+	}
+}
+
+// A file that changes what is fixed is refused whole, and the field is named.
+func TestFixedFields(t *testing.T) {
+	b := newBench(t)
+	for _, c := range []struct{ field, from, to string }{
+		{"name", `"name":"n0"`, `"name":"n1"`},
+		{"listen", `"listen":"127.0.0.1:0"`, `"listen":"127.0.0.1:9"`},
+		{"peer_listen", `"peer_listen":"127.0.0.1:0"`, `"peer_listen":"127.0.0.1:9"`},
+		{"peers", `["127.0.0.1:5"]`, `["127.0.0.1:6"]`},
+		{"peers_all", `"limits"`, `"peers_all":"127.0.0.1:7","limits"`},
+		{"admin", `"limits"`, `"admin":"127.0.0.1:7","limits"`},
+		{"settings.zone", `"zone":"a"`, `"zone":"b"`},
+		{"settings.tick_ms", `"tick_ms":1`, `"tick_ms":2`},
+		{"settings.discovery", `"discovery":"push"`, `"discovery":"ask"`},
+		{"settings.caps.peers", `"peers":true`, `"peers":false`},
+		{"settings.family_info.mail_per_s", `"mail_per_s":60`, `"mail_per_s":61`},
+		{"settings.report.names", `["cpu","rps"]`, `["cpu"]`},
+	} {
+		err := b.offer(c.from, c.to)
+		var faults Faults
+		if !errors.As(err, &faults) || !strings.Contains(faults.Error(), c.field+": can't change without a restart") {
+			t.Errorf("%s: %v", c.field, err)
+		}
+	}
+	// Facts of the start are passed over, and what the platform adds is borne.
+	if err := b.offer(`"seed":"8c1f30d27a5be964"`, `"seed":"1","known":{"rev":9,"targets":[]},"more":1`); err != nil {
+		t.Error(err)
+	}
+	if b.Current().Number != 2 {
+		t.Errorf("generation %d", b.Current().Number)
+	}
+}
+
+// One step leads back, a second one nowhere; the file that was left is not
+// taken again by a signal, but by hand or once it has changed.
+func TestRollBack(t *testing.T) {
+	b := newBench(t)
+	if _, err := b.Back(b.now); !errors.Is(err, ErrNoneBefore) {
+		t.Errorf("%v with one generation", err)
+	}
+	if err := b.offer(`"127.0.0.1:1"`, `"127.0.0.1:2"`); err != nil {
+		t.Fatal(err)
+	}
+	g, err := b.Back(b.now)
+	if err != nil || b.Current().Number != 2 {
+		t.Fatal(err, b.Current())
+	}
+	b.Accept(g)
+	if b.Current().Number != 3 || b.Current().File.Discovery != "127.0.0.1:1" {
+		t.Errorf("%+v", b.Current())
+	}
+	if _, err := b.Back(b.now); !errors.Is(err, ErrNoneBefore) {
+		t.Errorf("%v at the second step back", err)
+	}
+	if _, err := b.Offer(b.now, false); !errors.Is(err, ErrPassedOver) {
+		t.Errorf("%v for the file that was left", err)
+	}
+	if g, err = b.Offer(b.now, true); err != nil || g.File.Discovery != "127.0.0.1:2" {
+		t.Errorf("%v by hand", err)
+	}
+	if err := b.offer(`"127.0.0.1:1"`, `"127.0.0.1:3"`); err != nil || b.Left() != "" {
+		t.Errorf("%v for another file", err)
+	}
+	if err := b.offer(`"127.0.0.1:1"`, `"127.0.0.1:3"`); !errors.Is(err, ErrPassedOver) {
+		t.Errorf("%v for the file in force", err)
+	}
+}
+
+// What applying fails at is not in force.
+func TestProposedIsNotInForce(t *testing.T) {
+	b := newBench(t)
+	b.write(strings.Replace(testFile, `"127.0.0.1:1"`, `"127.0.0.1:2"`, 1))
+	if _, err := b.Offer(b.now, false); err != nil || b.Current().Number != 1 || b.Before() != nil {
+		t.Error(err, b.Current())
+	}
+}
+
+// A file is untrusted: whatever it holds gives a file, faults or a plain error,
+// and what passes once passes again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(testFile))
+	f.Add([]byte(`{"settings":{"classes":[{"name":1e999}],"plans":{"count":1e18}}}`))
+	f.Add([]byte(`{"limits":{"sockets":1e40},"peers":[null],"known":{"targets":[{}]}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := Source{none}.Parse(data)
+		var faults Faults
+		if err != nil && !errors.Is(err, ErrUnreadable) && (!errors.As(err, &faults) || len(faults) == 0) {
+			t.Fatalf("%T %v", err, err)
+		}
+		if err == nil && (c == nil || fixed(c, c) != nil || fmt.Sprint(c.Settings.Classes) == "[]") {
+			t.Fatalf("passed as %+v", c)
+		}
+	})
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -255,7 +255,7 @@
 	l.up.update(m.list, m.kind != policy.Changes)
 	ev := policy.Members{Kind: m.kind}
 	for i := range m.list.Targets {
-		ev.Servers = append(ev.Servers, m.list.Targets[i].server())
+		ev.Servers = append(ev.Servers, m.list.Targets[i].Server())
 	}
 	l.decide(ev)
 	if l.onList != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"os"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -32,7 +33,8 @@
 
 // Node is an edge node whose sockets are open.
 type Node struct {
-	cfg      *Config
+	cfg      *config.File // as it was at the start
+	history  *config.History
 	loop     *loop
 	server   *server
 	up       *upstream
@@ -42,7 +44,8 @@
 }
 
 // New opens the sockets of an edge node.
-func New(cfg *Config) (*Node, error) {
+func New(h *config.History) (*Node, error) {
+	cfg := h.Current().File
 	g, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
@@ -52,7 +55,7 @@
 		idleFor: time.Duration(idlePart * float64(cfg.ConnIdle)), grace: cfg.DrainGrace, rest: restFor,
 		most: int(serverPart * float64(cfg.Sockets)), fields: cfg.Settings.ReportNames,
 		servers: map[policy.ServerID]*appServer{}}
-	n := &Node{cfg: cfg, up: up, loop: newLoop(clk, g, up)}
+	n := &Node{cfg: cfg, history: h, up: up, loop: newLoop(clk, g, up)}
 	n.server = newServer(clk, cfg.Settings, up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
 	n.loop.mustAsk = cfg.Settings.MustAsk
 	n.loop.onList = func(kind policy.MembersKind) {
@@ -101,12 +104,11 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	defer n.closePeers()
+	for _, w := range n.cfg.Warnings {
+		slog.Warn("configuration", "passed over", w)
+	}
 	if k := n.cfg.Known; k != nil && len(k.Targets) > 0 {
-		if err := k.check(); err != nil {
-			slog.Warn("known list passed over", "err", err)
-		} else {
-			n.loop.events <- members{k, policy.Remembered}
-		}
+		n.loop.events <- members{k, policy.Remembered}
 	}
 	go n.loop.run(ctx.Done())
 	go n.disc.run(ctx)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"os"
 	"reflect"
 	"time"
+
+	"yardcleat.example/yardcleat/internal/config"
 )
 
 const (
@@ -13,8 +16,8 @@
 	reloadTries = 40
 )
 
-// reload takes over the configuration file's addresses whenever hup says that
-// the file is new. What can't be used changes nothing.
+// reload takes over the configuration file whenever hup says that it is new.
+// What can't be used changes nothing.
 func (n *Node) reload(ctx context.Context, hup <-chan os.Signal) {
 	for {
 		select {
@@ -22,30 +25,39 @@
 			return
 		case <-hup:
 		}
-		for try := 1; n.cfg.Reread != nil; try++ {
-			cfg, err := n.cfg.Reread()
-			if err == nil {
-				n.apply(cfg)
-				break
-			}
-			if try == reloadTries {
-				slog.Error("new configuration passed over; the old one stays in force", "err", err)
-				break
-			}
-			if !sleep(ctx, reloadPause) {
-				return
-			}
+		next, err := n.read(ctx, false)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, config.ErrPassedOver):
+			slog.Info("configuration unchanged", "why", err)
+		case err != nil:
+			slog.Error("new configuration refused; the one in force stays", "generation", n.history.Current().Number, "err", err)
+		default:
+			n.apply(next)
+		}
+	}
+}
+
+// read proposes what the file holds now. One that may be half written is read
+// again for a while.
+func (n *Node) read(ctx context.Context, forced bool) (*config.Generation, error) {
+	for try := 1; ; try++ {
+		next, err := n.history.Offer(time.Now(), forced)
+		if !errors.Is(err, config.ErrUnreadable) || try == reloadTries || !sleep(ctx, reloadPause) {
+			return next, err
 		}
 	}
 }
 
 // apply takes over what may change while the node serves.
-func (n *Node) apply(cfg *Config) {
-	if !reflect.DeepEqual(cfg.Settings, n.cfg.Settings) || cfg.Listen != n.cfg.Listen || cfg.PeerListen != n.cfg.PeerListen {
+func (n *Node) apply(next *config.Generation) {
+	if !reflect.DeepEqual(next.File.Settings, n.history.Current().File.Settings) {
 		slog.Warn("new configuration: other settings than discovery are taken over at the next start")
 	}
-	slog.Info("new configuration", "discovery", cfg.Discovery)
-	n.disc.moveTo(cfg.Discovery)
+	n.history.Accept(next)
+	slog.Info("new configuration", "generation", next.Number, "digest", next.Digest, "discovery", next.File.Discovery)
+	n.disc.moveTo(next.File.Discovery)
 }
 
 // sleep waits; it is false when ctx ended first.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/roster"
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -117,18 +118,18 @@
 	listed := map[policy.ServerID]bool{}
 	for i := range l.Targets {
 		t := &l.Targets[i]
-		id := serverID(t.UID)
+		id := roster.ID(t.UID)
 		listed[id] = true
 		s := u.servers[id]
 		if s == nil {
 			s = &appServer{addr: t.Endpoint, boot: t.BootMS}
 			u.servers[id] = s
 		}
-		if t.State != "DELETED" && (s.addr != t.Endpoint || s.boot != t.BootMS) {
+		if t.State != roster.Gone && (s.addr != t.Endpoint || s.boot != t.BootMS) {
 			u.dropIdle(s) // they lead to the process before
 			s.addr, s.boot = t.Endpoint, t.BootMS
 		}
-		u.become(s, targetStates[t.State], now)
+		u.become(s, t.PolicyState(), now)
 	}
 	// What is gone is forgotten: an attempt that is out has its connection, and
 	// nothing new finds a way there.
