Keep a hard ceiling to its even parts: lending between them served no plan

A ceiling is still held, by even parts that start empty (TestCeilingHoldsOverRestarts); only a customer that comes in through one gateway alone gets less of it. The byte on the wire stays, as 0, and what an older version lends is lost on the way, which is safe.

--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -208,7 +208,7 @@
 		g.advance(c)
 		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
 			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
-			passed: byte(c.passed), given: c.set[i].gave, store: unknownStore, anew: g.now-c.born < anewFor,
+			passed: byte(c.passed), store: unknownStore, anew: g.now-c.born < anewFor,
 			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
 		if c.known && c.plan.Burst > 0 {
 			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
@@ -270,37 +270,6 @@
 	}
 }
 
-// lend gives peers of the ceiling's part here what this gateway does not need
-// and they ask for beyond their own. What is lent is off here before it is on
-// there, a part never holds more than its even share, and what is lost on the
-// way is lost: all parts together stay under the ceiling.
-func (g *Gateway) lend(c *customer, dt time.Duration) {
-	if c.plan.HardRate == 0 || len(c.set) == 0 || g.tree {
-		return
-	}
-	g.advance(c)
-	if c.lent *= math.Exp(-dt.Seconds() / lendSpan.Seconds()); c.lent < 1/lendScale/16 {
-		c.lent = 0
-	}
-	part, want := c.plan.HardRate/c.n, 0.0
-	for _, v := range c.set {
-		v.want = 0
-		if !g.silent(v.p) {
-			v.want = max(0, v.rate/demandSpan.Seconds()-part) * dt.Seconds() * lendMost
-		}
-		want += v.want
-	}
-	spare := c.ceiling - g.set.LargestUnits - c.rate/demandSpan.Seconds()*lendAhead.Seconds()
-	for _, v := range c.set {
-		n := min(lendScale*30, math.Floor(lendScale*v.want*min(1, max(0, spare)/max(want, 1e-9))))
-		v.gave += byte(n)
-		c.ceiling, c.lent = c.ceiling-n/lendScale, c.lent+n/lendScale
-		if n > 0 {
-			c.fresh = max(c.fresh, 1)
-		}
-	}
-}
-
 // advice is when a retry may find room: once the store will have filled up to
 // what a repeat needs, and no sooner than the next ticks.
 func (g *Gateway) advice(r *request) time.Duration {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -83,10 +83,6 @@
 	verdictLife  = 8 * time.Second       // a verdict not told again lapses
 	otherZone    = 0.7                   // weight of a server in another zone
 	nearMost     = 20                    // servers that a gateway keeps to: enough to even out slow ones
-
-	lendSpan  = 300 * time.Millisecond // what is lent of a ceiling arrives in this time
-	lendAhead = 500 * time.Millisecond // own demand that is not lent
-	lendMost  = 2.0                    // of what a peer asks for beyond its part
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -190,7 +186,7 @@
 		share = 1 / float64(c.spread) // what others pass is the root's to know
 	}
 	c.store = min(c.plan.Burst, c.store+c.plan.Rate*dt*share)
-	c.ceiling = max(c.ceiling, min(c.plan.HardBurst/c.n-c.lent, c.ceiling+c.plan.HardRate/c.n*dt))
+	c.ceiling = max(c.ceiling, min(c.plan.HardBurst/c.n, c.ceiling+c.plan.HardRate/c.n*dt))
 	k := math.Exp(-dt / demandSpan.Seconds())
 	c.rate *= k
 	for _, v := range c.set {
@@ -735,9 +731,8 @@
 	}
 	g.advance(c)
 	v := c.set[i]
-	passed, lent, met := v.read(e, p.inc, g.now)
+	passed, met := v.read(e, p.inc, g.now)
 	c.store = min(c.plan.Burst, max(0, c.store-passed))
-	c.ceiling = min(c.plan.HardBurst/c.n, c.ceiling+lent)
 	// One just met has used it, or knows who has: it is told once what the store
 	// is here. Guards against a store that is full at one gateway only.
 	if (met || !c.known) && e.store != unknownStore {
--- a/policy/report.go
+++ b/policy/report.go
@@ -39,7 +39,6 @@
 	out    byte   // mean attempts out over the tick: outScale times its root, up to 15
 	held   byte   // up to maxHeld
 	passed byte   // running total of units passed, its lowest bits
-	given  byte   // running total of what was lent to this peer of the ceiling: lendScale a unit
 	rate   byte   // units asked for a second: rateScale * log2(1 + rate), up to maxRate
 	anew   bool   // the total began at nothing a moment ago: the highest bit of the rate
 	store  byte   // estimate of the store, 250 full
@@ -61,7 +60,6 @@
 	serverSize    = 2
 	entrySize     = 8
 	rateScale     = 8
-	lendScale     = 4.0 // parts of a unit in which a ceiling is lent
 )
 
 // fits tells whether one more customer fits in.
@@ -85,7 +83,7 @@
 	}
 	for _, e := range m.customers {
 		b = append(b, byte(e.hash>>16), byte(e.hash>>8), byte(e.hash), e.out<<4|e.held)
-		b = append(b, e.passed, e.given)
+		b = append(b, e.passed, 0) // older versions lend of ceilings here
 		rate := e.rate
 		if e.anew {
 			rate |= flagAnew
@@ -117,20 +115,20 @@
 			return m, false
 		}
 		e := entry{hash: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]), out: b[3] >> 4, held: b[3] & maxHeld,
-			passed: b[4], given: b[5], rate: b[6] & maxRate, anew: b[6]&flagAnew != 0, store: b[7]}
+			passed: b[4], rate: b[6] & maxRate, anew: b[6]&flagAnew != 0, store: b[7]}
 		b = b[entrySize:]
 		m.customers = append(m.customers, e)
 	}
 	return m, true
 }
 
-// read takes over an entry's figures, and tells what has been passed and lent
-// since the last. It tells too whether the sender's totals were not known, or
+// read takes over an entry's figures, and tells what has been passed since the
+// last. It tells too whether the sender's totals were not known, or
 // began at nothing: then what was passed counts from there.
-func (v *peerView) read(e entry, inc uint32, now time.Duration) (passed, lent float64, met bool) {
+func (v *peerView) read(e entry, inc uint32, now time.Duration) (passed float64, met bool) {
 	quiet := now-v.at > anewFor
 	if met = !v.heard || v.inc != inc || e.anew && quiet; met {
-		v.passed, v.got = 0, e.given
+		v.passed = 0
 		if !v.heard && !e.anew {
 			v.passed = e.passed
 		}
@@ -138,11 +136,9 @@
 	passed = float64(int8(e.passed - v.passed)) // settled units may take it back
 	if quiet {
 		passed = max(0, passed)
-	} else {
-		lent = float64(e.given-v.got) / lendScale
 	}
-	v.heard, v.inc, v.passed, v.got = true, inc, e.passed, e.given
+	v.heard, v.inc, v.passed = true, inc, e.passed
 	v.at, v.rate = now, (math.Exp2(float64(e.rate)/rateScale)-1)*demandSpan.Seconds()
 	v.out, v.held = math.Pow(float64(e.out)/outScale, 2), float64(e.held)
-	return passed, lent, met
+	return passed, met
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,7 +32,6 @@
 	store     float64       // estimate of the quota's store
 	known     bool          // the estimate rests on more than a fresh start
 	ceiling   float64       // own hard part of the ceiling
-	lent      float64       // of it, a moment ago: not filled again before it has arrived
 	passed    uint16        // running totals of units, told to peers
 	rate      float64       // own asked units, decayed over demandSpan
 	fresh     int           // ticks for which a change is still told
@@ -86,9 +85,6 @@
 	out    float64
 	held   float64
 	passed byte
-	gave   byte    // running totals of what was lent of the ceiling, to it
-	got    byte    // and by it
-	want   float64 // what it may be lent now
 	rate   float64 // asked units, decayed
 }
 
@@ -247,14 +243,12 @@
 	return (r.cl.Group != GroupZone || s.Zone == r.ranZone) && (r.cl.Group != GroupCell || s.Cell == r.ranCell)
 }
 
-// measure takes each customer's mean of attempts out over a tick, and lends what
-// it does not need of its ceiling.
+// measure takes each customer's mean of attempts out over a tick.
 func (g *Gateway) measure(dt time.Duration) {
 	for _, c := range g.ring {
 		c.expire(g.now)
 		c.count(g.now, 0)
 		c.mean, c.area = c.area/dt.Seconds(), 0
-		g.lend(c, dt)
 	}
 }
 
