Take new settings while serving, and translate numbers between tables that differ

A new configuration's classes, plans and rules were dropped until a restart. The module now takes them as one event: stores are cut to a new burst and filled by no reload, attempts out and held requests stay and are judged by the new cap at the next release, an open request keeps the class it came under, a customer of a vanished plan keeps that plan until it names another, and what is known of servers moves with its class by name.

Classes and plans are numbers in messages. Where tables differ (a reload on the way through the fleet, one inserted in front) they were taken for others. An ask now bears its table's mark in the tag, which a root only hands back: no byte more, and older programs understand all. A root that does not know the mark answers with its own; from then on other messages bear a mark as well.

--- a/policy/api.go
+++ b/policy/api.go
@@ -187,6 +187,10 @@
 	Servers []Server
 }
 
+// Reconfigure puts new settings in force. Me, Gateways, Zone, Resolution,
+// CanTell, MustAsk and MailPerSecond must be as they were.
+type Reconfigure struct{ Settings Settings }
+
 // Action is something a gateway wants done.
 type Action interface{ action() }
 
@@ -237,6 +241,7 @@
 func (Timer) event()       {}
 func (PeerMessage) event() {}
 func (Members) event()     {}
+func (Reconfigure) event() {}
 
 func (Send) action()     {}
 func (Cancel) action()   {}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -41,6 +41,8 @@
 		g.onPeer(ev)
 	case Members:
 		g.onMembers(ev)
+	case Reconfigure:
+		g.reconfigure(ev.Settings)
 	}
 	out, g.acts = g.acts, nil
 	return out
@@ -86,19 +88,23 @@
 	}
 	switch m := decode(ev.Data).(type) {
 	case ask:
-		if int(m.Plan) < len(g.set.Plans) && int(m.Class) < len(g.set.Classes) && m.Spread > 0 {
-			g.onAsk(ev.From, m)
+		if plan, cl := g.meant(ev.From, &m); cl != nil && m.Spread > 0 {
+			g.onAsk(ev.From, m, plan, cl)
 		}
 	case answer:
 		g.onAnswer(ev.From, m)
 	case ended:
 		g.onEnded(ev.From, m)
 	case sight:
-		if s := g.servers[ServerID(m.Server)]; s != nil && slices.Contains(s.watchers[:], g.set.Me) && int(m.Class) < len(s.by) {
-			g.gather(s, int(m.Class), Code(m.Code), time.Duration(m.Latency)*time.Millisecond)
-		}
+		g.onSight(m, g.place(m.Class, false, 0))
+	case markedSight:
+		g.onSight(m.Sight, g.place(m.Sight.Class, true, m.Mark))
 	case verdict:
-		g.onVerdict(m)
+		g.onVerdict(m, g.placeMask(m.Bad, false, 0))
+	case markedVerdict:
+		g.onVerdict(m.Verdict, g.placeMask(m.Verdict.Bad, true, m.Mark))
+	case tables:
+		g.onTables(ev.From, m)
 	case report:
 		g.onReport(g.peers[ev.From], m)
 	}
@@ -161,10 +167,13 @@
 // customer finds the customer of a request.
 func (g *Gateway) customer(r *Request) *customer {
 	key := keyOf(r.Customer)
+	plan := g.plans[r.Plan]
 	if c := g.customers[key]; c != nil {
+		if g.mixed {
+			g.replan(c, plan)
+		}
 		return c
 	}
-	plan := g.plans[r.Plan]
 	if plan == nil {
 		plan = &quota{Plan: Plan{Name: r.Plan}}
 	}
@@ -282,7 +291,7 @@
 }
 
 func (g *Gateway) sight(s *server, cl *class, code Code, latency time.Duration) {
-	if cl.Name == "" {
+	if cl.Name == "" || cl.no < 0 {
 		return // not in the settings
 	}
 	for i, w := range s.watchers {
@@ -294,17 +303,17 @@
 			continue
 		}
 		ms := uint16(min(max(0, latency.Milliseconds()), math.MaxUint16))
-		g.do(Tell{To: w, Data: encode(sight{uint32(s.ID), byte(cl.no), byte(code), ms})})
+		g.do(Tell{To: w, Data: encode(g.marked(sight{uint32(s.ID), byte(cl.no), byte(code), ms}))})
 	}
 }
 
-func (g *Gateway) onVerdict(m verdict) {
+func (g *Gateway) onVerdict(m verdict, bad byte) {
 	s := g.servers[ServerID(m.Server)]
 	if s == nil {
 		return
 	}
 	for i := range s.by {
-		s.by[i].bad, s.by[i].until = m.Bad>>i&1 == 1, g.now+verdictLife
+		s.by[i].bad, s.by[i].until = bad>>i&1 == 1, g.now+verdictLife
 	}
 	s.slow = math.Exp2(float64(m.Pace)/16 - 4)
 }
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -69,6 +70,12 @@
 		kind = 3
 	case verdict:
 		kind = 4
+	case tables:
+		kind = 5
+	case markedSight:
+		kind = 6
+	case markedVerdict:
+		kind = 7
 	}
 	b, err := binary.Append([]byte{shortVersion, kind}, binary.BigEndian, m)
 	if err != nil {
@@ -96,6 +103,12 @@
 		return fixed[sight](b[2:])
 	case 4:
 		return fixed[verdict](b[2:])
+	case 5:
+		return fixed[tables](b[2:])
+	case 6:
+		return fixed[markedSight](b[2:])
+	case 7:
+		return fixed[markedVerdict](b[2:])
 	}
 	return nil
 }
@@ -133,18 +146,21 @@
 }
 
 func (g *Gateway) record(s *server, cl *class) *record {
-	if cl.no >= len(s.by) || cl.Name == "" {
+	if cl.no < 0 || cl.no >= len(s.by) || cl.Name == "" {
 		return nil
 	}
 	return &s.by[cl.no]
 }
 
-// askOf makes the message that asks for a request.
-func (g *Gateway) askOf(r *request) ask {
+// askOf makes the message that asks for a request, by a table.
+func (g *Gateway) askOf(r *request, t *table) ask {
 	c, left := r.c, (r.deadline - g.now).Milliseconds()
 	m := ask{Customer: c.key, First: uint16(c.first), Spread: uint16(c.spread), Plan: c.plan.no,
 		Class: byte(r.cl.no), Units: uint16(r.units), Left: uint16(min(max(0, left), math.MaxUint16)),
 		Tag: r.tag, Repeat: r.repeat, Fill: unknownStore, Thin: small(250 * r.asks)}
+	if t != g.tables[0] {
+		m.Plan, m.Class = byte(slices.Index(t.plans, c.plan.Name)), byte(slices.Index(t.classes, r.cl.Name))
+	}
 	if c.told > 0 {
 		m.Fill = small(250 * max(0, c.store) / max(1, c.plan.Burst))
 	}
@@ -152,8 +168,8 @@
 }
 
 // requestOf makes the request that another gateway asks for.
-func (g *Gateway) requestOf(c *customer, from int, m ask) *request {
-	return &request{c: c, cl: g.classes[g.set.Classes[m.Class].Name], units: float64(m.Units), arrived: g.now,
+func (g *Gateway) requestOf(c *customer, from int, cl *class, m ask) *request {
+	return &request{c: c, cl: cl, units: float64(m.Units), arrived: g.now,
 		deadline: g.now + time.Duration(m.Left)*time.Millisecond, repeat: m.Repeat, remote: true, root: from,
 		tag: m.Tag}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,10 +120,24 @@
 	c := &customer{key: key, hash: shortOf(key), plan: plan, n: float64(spread), store: plan.Burst,
 		part: 1, leases: map[lease]leased{}, first: first, spread: spread, at: g.now, areaAt: g.now,
 		born: g.now}
+	g.seat(c)
+	// A restarted root knows nothing: it must not grant a whole store again.
+	if g.tree && plan.Rate > 0 && (g.now-g.start).Seconds() < plan.Burst/plan.Rate {
+		c.store *= freshFill
+	}
+	// The ceiling's own part starts empty at the gateway's start: after a
+	// restart it must not be granted a second time.
+	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
+	g.enter(c)
+	return c
+}
+
+// seat finds who sums a customer's counts, by the figures of its plan.
+func (g *Gateway) seat(c *customer) {
 	roots, deputy := g.roots(c)
-	if slices.Contains(roots, g.set.Me) || !g.tree {
+	if c.ask = nil; slices.Contains(roots, g.set.Me) || !g.tree {
 		g.views(c, roots)
-	} else if plan.Rate > 0 || plan.Open > 0 {
+	} else if c.plan.Rate > 0 || c.plan.Open > 0 {
 		c.ask = []int{roots[g.set.Me%len(roots)], deputy}
 	}
 	if g.tree {
@@ -133,15 +147,17 @@
 			c.n = 1 / deputyPart
 		}
 	}
-	// A restarted root knows nothing: it must not grant a whole store again.
-	if g.tree && plan.Rate > 0 && (g.now-g.start).Seconds() < plan.Burst/plan.Rate {
-		c.store *= freshFill
+}
+
+// carry takes a customer over to new figures of its plan. That fills no store:
+// what is in it stays, cut to the new burst. Only a plan that had no rate had
+// none, and one begins full.
+func (g *Gateway) carry(c *customer, old Plan) {
+	g.seat(c)
+	if old.Rate == 0 && c.plan.Rate > 0 {
+		c.store = c.plan.Burst
 	}
-	// The ceiling's own part starts empty at the gateway's start: after a
-	// restart it must not be granted a second time.
-	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
-	g.enter(c)
-	return c
+	c.store, c.ceiling = min(c.store, c.plan.Burst), min(c.ceiling, c.plan.HardBurst/c.n)
 }
 
 // roots are the gateways that sum a customer's counts: as few as can take in
@@ -749,8 +765,13 @@
 // fill heard, but under a ceiling: lost roots must not stop customers far below
 // their quotas.
 func (g *Gateway) ask(r *request) {
-	c := r.c
-	if delete(g.asks, r.tag); r.asked > rootAsks || g.now+2*g.set.Resolution >= r.deadline {
+	c, to := r.c, g.set.Me
+	if len(c.ask) > 0 { // by new figures it may count here by now
+		to = c.ask[min(1, r.asked/rootAsks)]
+	}
+	t := g.toPeer(to, r)
+	delete(g.asks, r.tag)
+	if r.asked > rootAsks || t == nil && to != g.set.Me || g.now+2*g.set.Resolution >= r.deadline {
 		// Where much of the mail is lost the roots are flooded: few may pass unheard.
 		pass := math.Pow(g.heard, unheardPower)
 		if r.waits || g.now >= r.deadline || g.rng.Float64() > pass || c.plan.HardRate > 0 ||
@@ -759,17 +780,12 @@
 		}
 		return
 	}
-	to := c.ask[0]
-	if r.asked == rootAsks {
-		to = c.ask[1]
-	}
 	if to == g.set.Me {
 		g.admit(r)
 		return
 	}
-	if r.asked != 1 || r.root != to { // the same name when the same root is asked again
-		g.nextTag++
-		r.tag = g.nextTag
+	if r.asked != 1 || r.root != to || r.by != t { // the same name when the same root is asked again
+		r.tag, r.by = g.newTag(t), t
 	}
 	if r.asked > 0 {
 		g.heard -= learn * g.heard
@@ -780,17 +796,17 @@
 	r.until = min(g.now+wait, r.deadline-2*g.set.Resolution)
 	g.asks[r.tag] = r
 	g.asking = append(g.asking, r)
-	g.do(Tell{To: r.root, Data: encode(g.askOf(r))})
+	g.do(Tell{To: r.root, Data: encode(g.askOf(r, t))})
 	g.do(SetTimer{Token: "ask", After: r.until - g.now})
 }
 
 // onAsk takes a member's request into the customer's counts as if it had come
 // in here.
-func (g *Gateway) onAsk(from int, m ask) {
+func (g *Gateway) onAsk(from int, m ask, plan *quota, cl *class) {
 	c := g.customers[m.Customer]
 	fresh := c == nil
 	if fresh {
-		c = g.account(m.Customer, g.plans[g.set.Plans[m.Plan].Name], int(m.First), int(m.Spread))
+		c = g.account(m.Customer, plan, int(m.First), int(m.Spread))
 	}
 	// One that counts for a root it can't hear goes by what the root last told.
 	if m.Fill != unknownStore && (fresh || len(c.ask) > 0) {
@@ -808,7 +824,7 @@
 	g.advance(c)
 	c.seen, c.sums = g.now, true
 	c.rate += float64(m.Units) * 250 / float64(max(1, m.Thin))
-	g.admit(g.requestOf(c, from, m))
+	g.admit(g.requestOf(c, from, cl, m))
 }
 
 // grant counts a member's request and tells it to go.
@@ -914,9 +930,9 @@
 		return
 	}
 	m := verdict{Server: uint32(s.ID), Bad: bad, Pace: small(16 * (4 + math.Log2(max(s.pace, 0.1))))}
-	g.onVerdict(m)
+	g.onVerdict(m, bad)
 	if g.tree {
 		s.verdicts--
-		g.do(Tell{To: -1, Data: encode(m)})
+		g.do(Tell{To: -1, Data: encode(g.marked(m))})
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -123,6 +123,7 @@
 	remote   bool    // came in at the gateway root, which asks for it
 	root     int     // the gateway asked for it
 	tag      uint32  // by this name
+	by       *table  // and by these numbers
 	asked    int     // how often
 	askedAt  time.Duration
 	until    time.Duration // an answer is waited for until then
@@ -199,7 +200,14 @@
 	asking    []*request // in the order asked, answered ones too
 	ends      []Action   // told to roots since the last tick, to be told once more
 	nextTag   uint32
-	reply     time.Duration // mean time to an answer
+	tables    []*table       // the newest, and the one before where that differs
+	mixed     bool           // another table was met
+	speaks    map[int]uint16 // by which table a gateway speaks, where mixed
+	hinted    []int          // gateways told of the tables here since the last tick
+
+	lapsedClasses map[string]*class // of the generation before, gone from the newest
+	lapsedPlans   map[string]*quota
+	reply         time.Duration // mean time to an answer
 }
 
 func (g *Gateway) do(a Action) { g.acts = append(g.acts, a) }
@@ -245,6 +253,7 @@
 
 // measure takes each customer's mean of attempts out over a tick.
 func (g *Gateway) measure(dt time.Duration) {
+	g.hinted = g.hinted[:0]
 	for _, c := range g.ring {
 		c.expire(g.now)
 		c.count(g.now, 0)
@@ -277,16 +286,28 @@
 	})
 }
 
-// views makes room for what each of the others says of a customer.
+// views makes room for what each of the others says of a customer, and lets go
+// of what those say who count for it no longer.
 func (g *Gateway) views(c *customer, others []int) {
+	c.set = slices.DeleteFunc(c.set, func(v *peerView) bool {
+		if slices.Contains(others, v.p.num) {
+			return false
+		}
+		v.leave()
+		return true
+	})
 	for _, num := range others {
-		if num != g.set.Me {
+		if num != g.set.Me && !slices.ContainsFunc(c.set, func(v *peerView) bool { return v.p.num == num }) {
 			v := &peerView{p: g.peer(num)}
 			c.set, v.p.views = append(c.set, v), append(v.p.views, v)
 		}
 	}
 }
 
+func (v *peerView) leave() {
+	v.p.views = slices.DeleteFunc(v.p.views, func(o *peerView) bool { return o == v })
+}
+
 // enter puts a customer in the tables. Two of one short hash can't be told
 // apart in reports: none is taken for either.
 func (g *Gateway) enter(c *customer) {
@@ -352,6 +373,7 @@
 		asks:   map[uint32]*request{},
 		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{}}
 	g.inc = g.rng.Uint32()
+	g.tables = []*table{newTable(&s)}
 	for i, p := range s.Plans {
 		g.plans[p.Name] = &quota{p, byte(i)}
 	}
@@ -439,7 +461,7 @@
 		}
 		delete(g.customers, c.key)
 		for _, v := range c.set {
-			v.p.views = slices.DeleteFunc(v.p.views, func(o *peerView) bool { return o == v })
+			v.leave()
 		}
 		g.unname(c)
 		return true
