Put a new configuration in force whole, at one point of the event loop

On SIGHUP only discovery moved and every other change was dropped with a warning. A generation now comes into force between two events: the module's settings, the limits on connections at both sides, the tables that requests are read by, and discovery's address if it has changed. A request that was read by the generation before and reaches the loop after is read again. Connections beyond a tightened limit are closed where they are idle and otherwise with their next answer. One step leads back to the generation before; a signal does not bring back the file that was left, applying it by hand does.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -36,7 +37,9 @@
 // commands and carries them out one at a time; all else is the loop's.
 type call struct {
 	policy.Request
-	name    string // the client's id for it
+	name    string             // the client's id for it
+	gen     *config.Generation // by which it was read
+	req     *clientRequest     // its connection's, which waits
 	class   *policy.Class
 	conn    net.Conn // the client's
 	arrived time.Duration
@@ -71,6 +74,12 @@
 	kind policy.MembersKind
 }
 
+// apply puts a generation in force; done is closed once it is.
+type apply struct {
+	gen  *config.Generation
+	done chan struct{}
+}
+
 // loop owns the Gateway and the state of all open requests. Others hand it
 // events; it never waits for a socket.
 type loop struct {
@@ -80,6 +89,9 @@
 	tell    func(to int, data []byte)
 	mustAsk bool
 	onList  func(kind policy.MembersKind)
+	gen     *config.Generation           // in force
+	onApply func(gen *config.Generation) // puts its limits in force elsewhere
+	reread  func(c *call) error          // reads a request anew, by the generation in force
 
 	events chan any
 	nextID policy.RequestID
@@ -148,10 +160,26 @@
 		l.decide(ev)
 	case members:
 		l.members(ev)
+	case apply:
+		l.apply(ev)
 	}
 }
 
+// apply is the one point at which a new generation comes into force. What was
+// read by the one before and comes after it is read again, so that nothing is
+// decided half by each.
+func (l *loop) apply(ev apply) {
+	l.gen = ev.gen
+	l.decide(policy.Reconfigure{Settings: ev.gen.File.Settings})
+	l.onApply(ev.gen)
+	close(ev.done)
+}
+
 func (l *loop) arrive(c *call) {
+	if c.gen != l.gen && l.reread(c) != nil {
+		c.cmd <- command{bad: statusBadRequest}
+		return
+	}
 	if l.names[c.name] != nil {
 		c.cmd <- command{bad: statusConflict} // the one that is open goes on
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/config"
@@ -34,7 +36,11 @@
 // Node is an edge node whose sockets are open.
 type Node struct {
 	cfg      *config.File // as it was at the start
+	changing sync.Mutex   // held while a generation is proposed and put in force
 	history  *config.History
+	status   atomic.Pointer[Status]
+	ctx      context.Context // ends with Run
+	end      context.CancelFunc
 	loop     *loop
 	server   *server
 	up       *upstream
@@ -51,12 +57,13 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	clk := clock{time.Now()}
-	up := &upstream{clock: clk, dial: net.Dialer{Timeout: cfg.DialTimeout, KeepAlive: -1},
-		idleFor: time.Duration(idlePart * float64(cfg.ConnIdle)), grace: cfg.DrainGrace, rest: restFor,
-		most: int(serverPart * float64(cfg.Sockets)), fields: cfg.Settings.ReportNames,
-		servers: map[policy.ServerID]*appServer{}}
+	up := &upstream{clock: clk, rest: restFor, fields: cfg.Settings.ReportNames, servers: map[policy.ServerID]*appServer{}}
+	up.limit(cfg)
 	n := &Node{cfg: cfg, history: h, up: up, loop: newLoop(clk, g, up)}
-	n.server = newServer(clk, cfg.Settings, up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
+	n.ctx, n.end = context.WithCancel(context.Background())
+	n.server = newServer(clk, h.Current(), up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
+	n.publish()
+	n.loop.gen, n.loop.onApply, n.loop.reread = h.Current(), n.onApply, n.server.read
 	n.loop.mustAsk = cfg.Settings.MustAsk
 	n.loop.onList = func(kind policy.MembersKind) {
 		switch kind {
@@ -101,8 +108,8 @@
 // Run serves until stop ends, then answers what is open and returns. Signals on
 // hup tell that the configuration file is new.
 func (n *Node) Run(stop context.Context, hup <-chan os.Signal) error {
-	ctx, end := context.WithCancel(context.Background())
-	defer end()
+	ctx := n.ctx
+	defer n.end()
 	defer n.closePeers()
 	for _, w := range n.cfg.Warnings {
 		slog.Warn("configuration", "passed over", w)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -5,17 +5,40 @@
 	"errors"
 	"log/slog"
 	"os"
-	"reflect"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/config"
 )
 
+var errEnded = errors.New("the edge node has ended")
+
 const (
 	reloadPause = 50 * time.Millisecond // a file that can't be used may be half written: it is read again
 	reloadTries = 40
 )
 
+// Status is what operators see of an edge node.
+type Status struct {
+	Name     string
+	Ready    bool
+	Draining bool
+	Current  *config.Generation
+	Before   *config.Generation // nil: there is none to return to
+	Refused  *config.Refusal    // the last file, if it was refused
+}
+
+// Status may be called at any time; it waits for nothing.
+func (n *Node) Status() Status {
+	s := *n.status.Load()
+	s.Ready, s.Draining = n.server.ready.Load(), n.server.draining.Load()
+	return s
+}
+
+// publish shows the history to operators. The caller holds n.changing.
+func (n *Node) publish() {
+	n.status.Store(&Status{Name: n.cfg.Name, Current: n.history.Current(), Before: n.history.Before(), Refused: n.history.Refused()})
+}
+
 // reload takes over the configuration file whenever hup says that it is new.
 // What can't be used changes nothing.
 func (n *Node) reload(ctx context.Context, hup <-chan os.Signal) {
@@ -25,39 +48,85 @@
 			return
 		case <-hup:
 		}
-		next, err := n.read(ctx, false)
+		err := n.readAndApply(ctx, false)
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, config.ErrPassedOver):
 			slog.Info("configuration unchanged", "why", err)
 		case err != nil:
-			slog.Error("new configuration refused; the one in force stays", "generation", n.history.Current().Number, "err", err)
-		default:
-			n.apply(next)
+			slog.Error("new configuration refused; the one in force stays", "generation", n.Status().Current.Number, "err", err)
 		}
 	}
 }
 
-// read proposes what the file holds now. One that may be half written is read
-// again for a while.
-func (n *Node) read(ctx context.Context, forced bool) (*config.Generation, error) {
+// readAndApply puts the file in force as it is now. One that may be half written
+// is read again for a while.
+func (n *Node) readAndApply(ctx context.Context, forced bool) error {
 	for try := 1; ; try++ {
-		next, err := n.history.Offer(time.Now(), forced)
+		err := n.change(ctx, func() (*config.Generation, error) { return n.history.Offer(time.Now(), forced) })
 		if !errors.Is(err, config.ErrUnreadable) || try == reloadTries || !sleep(ctx, reloadPause) {
-			return next, err
+			return err
 		}
 	}
 }
 
-// apply takes over what may change while the node serves.
-func (n *Node) apply(next *config.Generation) {
-	if !reflect.DeepEqual(next.File.Settings, n.history.Current().File.Settings) {
-		slog.Warn("new configuration: other settings than discovery are taken over at the next start")
+// change puts the generation that is proposed in force, one change at a time, and
+// returns once it is.
+func (n *Node) change(ctx context.Context, propose func() (*config.Generation, error)) error {
+	n.changing.Lock()
+	defer n.changing.Unlock()
+	defer n.publish()
+	next, err := propose()
+	if err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	select {
+	case n.loop.events <- apply{next, done}:
+	case <-n.ctx.Done():
+		return errEnded
+	}
+	select {
+	case <-done:
+	case <-n.ctx.Done():
+		return errEnded
 	}
+	before := n.history.Current()
 	n.history.Accept(next)
-	slog.Info("new configuration", "generation", next.Number, "digest", next.Digest, "discovery", next.File.Discovery)
-	n.disc.moveTo(next.File.Discovery)
+	slog.Info("new configuration in force", "generation", next.Number, "digest", next.Digest, "before", before.Digest,
+		"discovery", next.File.Discovery)
+	for _, w := range next.File.Warnings {
+		slog.Warn("configuration", "passed over", w)
+	}
+	return ctx.Err()
+}
+
+// Check tells all that keeps a file from being put in force here.
+func (n *Node) Check(raw []byte) error {
+	n.changing.Lock()
+	defer n.changing.Unlock()
+	_, err := n.history.Check(raw)
+	return err
+}
+
+// Apply puts the file in force as it is now, also one that was rolled back from.
+func (n *Node) Apply(ctx context.Context) error { return n.readAndApply(ctx, true) }
+
+// RollBack returns to the generation before; the file stays as it is.
+func (n *Node) RollBack(ctx context.Context) error {
+	return n.change(ctx, func() (*config.Generation, error) { return n.history.Back(time.Now()) })
+}
+
+// onApply puts a generation's limits in force outside the module. The loop calls
+// it between two events.
+func (n *Node) onApply(next *config.Generation) {
+	was := n.server.gen.Swap(next)
+	n.up.limit(next.File)
+	n.server.keepTo(int(clientPart * float64(next.File.Sockets)))
+	if next.File.Discovery != was.File.Discovery {
+		n.disc.moveTo(next.File.Discovery)
+	}
 }
 
 // sleep waits; it is false when ctx ended first.
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -60,48 +60,56 @@
 // the module sees it, so that it neither makes nor changes a customer's counts.
 // The errors go to the client.
 func (s *server) parse(r *clientRequest) (*call, error) {
-	c := &call{arrived: s.clock.now(), cmd: make(chan command, 1)}
+	c := &call{arrived: s.clock.now(), cmd: make(chan command, 1), req: r}
+	return c, s.read(c)
+}
+
+// read reads a request by the generation in force.
+func (s *server) read(c *call) error {
+	r := c.req
+	c.gen = s.gen.Load()
+	settings := &c.gen.File.Settings
 	for _, name := range []string{"X-Request-Id", "X-Class", "X-Tier", "Cookie", "X-Deadline-Ms", "Idempotency-Key",
 		"X-Call-Terms", "X-Retry", "Content-Type"} {
 		if _, n := r.one(name); n > 1 {
-			return nil, fmt.Errorf("%s: more than once", name)
+			return fmt.Errorf("%s: more than once", name)
 		}
 	}
 	id := r.get("X-Request-Id")
 	if len(id) == 0 || len(id) > mostName || !visible(id) {
-		return nil, errors.New("X-Request-Id: missing, too long or not plain")
+		return errors.New("X-Request-Id: missing, too long or not plain")
 	}
 	c.name = string(id)
-	if err := s.class(c, r); err != nil {
-		return nil, err
+	if err := c.readClass(settings, r); err != nil {
+		return err
 	}
 	c.Plan = wire.Word(string(r.get("X-Tier")))
 	known := false
-	for i := range s.settings.Plans {
-		known = known || s.settings.Plans[i].Name == c.Plan
+	for i := range settings.Plans {
+		known = known || settings.Plans[i].Name == c.Plan
 	}
 	if !known {
-		return nil, fmt.Errorf("X-Tier: unknown plan %q", c.Plan)
+		return fmt.Errorf("X-Tier: unknown plan %q", c.Plan)
 	}
 	var err error
 	if c.Customer, err = customer(string(r.get("Cookie"))); err != nil {
-		return nil, err
+		return err
 	}
 	ms, n := decimal(r.get("X-Deadline-Ms"))
 	c.budget = time.Duration(ms) * time.Millisecond
 	if n == 0 || n > 9 || c.budget > c.class.Deadline+time.Millisecond { // the settings' may have been rounded
-		return nil, fmt.Errorf("X-Deadline-Ms: not whole milliseconds up to the class's %v", c.class.Deadline)
+		return fmt.Errorf("X-Deadline-Ms: not whole milliseconds up to the class's %v", c.class.Deadline)
 	}
 	c.Retry = string(r.get("X-Retry")) == "1"
-	return c, s.terms(&c.Request, string(r.get("X-Call-Terms")))
+	return terms(settings, &c.Request, string(r.get("X-Call-Terms")))
 }
 
-// class finds the request's class; method and path follow from it.
-func (s *server) class(c *call, r *clientRequest) error {
-	c.Class = wire.Word(string(r.get("X-Class")))
-	for i := range s.settings.Classes {
-		if s.settings.Classes[i].Name == c.Class {
-			c.class = &s.settings.Classes[i]
+// readClass finds the request's class; method and path follow from it.
+func (c *call) readClass(settings *policy.Settings, r *clientRequest) error {
+	c.class, c.Class = nil, wire.Word(string(r.get("X-Class")))
+	for i := range settings.Classes {
+		if settings.Classes[i].Name == c.Class {
+			c.class = &settings.Classes[i]
 		}
 	}
 	if c.class == nil {
@@ -140,8 +148,8 @@
 }
 
 // terms reads the units that a request takes and the customer's set.
-func (s *server) terms(r *policy.Request, text string) error {
-	r.Units, r.Spread = 1, s.settings.Gateways
+func terms(settings *policy.Settings, r *policy.Request, text string) error {
+	r.Units, r.Spread, r.First = 1, settings.Gateways, 0
 	if text == "" {
 		return nil
 	}
@@ -152,13 +160,13 @@
 		ok := n > 0
 		switch k {
 		case "units":
-			ok = ok && !units && x >= 1 && float64(x) <= max(s.settings.LargestUnits, 1)
+			ok = ok && !units && x >= 1 && float64(x) <= max(settings.LargestUnits, 1)
 			r.Units, units = float64(x), true
 		case "spread":
-			ok = ok && !spread && x >= 1 && x <= s.settings.Gateways
+			ok = ok && !spread && x >= 1 && x <= settings.Gateways
 			r.Spread, spread = x, true
 		case "first":
-			ok = ok && !first && x < s.settings.Gateways
+			ok = ok && !first && x < settings.Gateways
 			r.First, first = x, true
 		}
 		if !ok {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -1,16 +1,19 @@
 package node
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/policy"
 )
 
@@ -31,11 +34,12 @@
 // loop, carries out what the loop commands and writes the one answer.
 type server struct {
 	clock    clock
-	settings policy.Settings
+	gen      atomic.Pointer[config.Generation] // in force
 	up       *upstream
 	events   chan<- any
 	ready    atomic.Bool
 	draining atomic.Bool
+	tight    atomic.Bool // more connections are open than may be kept
 
 	mu     sync.Mutex
 	most   int // connections kept open at once
@@ -76,8 +80,43 @@
 }
 
 // newServer keeps at most so many connections open at once.
-func newServer(c clock, set policy.Settings, up *upstream, events chan<- any, most int) *server {
-	return &server{clock: c, settings: set, up: up, events: events, most: most, conns: map[*clientConn]struct{}{}}
+func newServer(c clock, gen *config.Generation, up *upstream, events chan<- any, most int) *server {
+	s := &server{clock: c, up: up, events: events, most: most, conns: map[*clientConn]struct{}{}}
+	s.gen.Store(gen)
+	return s
+}
+
+// keepTo changes how many connections may be open. Of those beyond, what is idle
+// is closed at once, the oldest first, and the others with their next answer.
+func (s *server) keepTo(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = most
+	var idle []*clientConn
+	for cc := range s.conns {
+		if !cc.shut && (cc.state == connIdle || cc.state == connLinger) {
+			idle = append(idle, cc)
+		}
+	}
+	slices.SortFunc(idle, func(a, b *clientConn) int { return cmp.Compare(a.since, b.since) })
+	for _, cc := range idle {
+		if len(s.conns)-s.shut > most {
+			s.close(cc)
+		}
+	}
+	s.tight.Store(len(s.conns)-s.shut > most)
+}
+
+// crowded tells whether an answered connection has to go.
+func (s *server) crowded() bool {
+	if !s.tight.Load() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	over := len(s.conns)-s.shut > s.most
+	s.tight.Store(over)
+	return over
 }
 
 // serve accepts connections until the listener is closed.
@@ -366,7 +405,7 @@
 
 // reply answers a request; the connection goes on if both sides want it.
 func (s *server) reply(cc *clientConn, status int, fields, body string) bool {
-	over := s.draining.Load() || cc.req.over()
+	over := s.draining.Load() || cc.req.over() || s.crowded()
 	if over {
 		fields += "Connection: close\r\n"
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/internal/roster"
 	"yardcleat.example/yardcleat/policy"
 )
@@ -33,15 +34,15 @@
 // Each attempt is written here, once: the stock clients send a request again
 // by themselves and don't tell whether its last byte was written.
 type upstream struct {
-	clock   clock
+	clock  clock
+	rest   time.Duration // before an idle connection is used again
+	fields []string      // of load reports, by the module's order
+
+	mu      sync.Mutex
 	dial    net.Dialer
 	idleFor time.Duration
 	grace   time.Duration
-	rest    time.Duration // before an idle connection is used again
-	most    int           // connections at once, to all servers
-	fields  []string      // of load reports, by the module's order
-
-	mu      sync.Mutex
+	most    int // connections at once, to all servers
 	open    int
 	ages    idleAges
 	servers map[policy.ServerID]*appServer
@@ -110,6 +111,18 @@
 	return !a.cancelled
 }
 
+// limit takes over a generation's figures. Of connections beyond, the idle ones
+// are closed, the oldest first; the others go as they come to rest.
+func (u *upstream) limit(f *config.File) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dial = net.Dialer{Timeout: f.DialTimeout, KeepAlive: -1}
+	u.idleFor = time.Duration(idlePart * float64(f.ConnIdle))
+	u.grace, u.most = f.DrainGrace, int(serverPart*float64(f.Sockets))
+	for u.open > u.most && u.dropOldest() {
+	}
+}
+
 // update takes over the list or changes to it.
 func (u *upstream) update(l *serverList, whole bool) {
 	u.mu.Lock()
@@ -228,7 +241,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
-	if s == nil || s.addr != c.RemoteAddr().String() {
+	if s == nil || s.addr != c.RemoteAddr().String() || u.open > u.most {
 		c.Close()
 		u.open--
 		return
@@ -362,7 +375,10 @@
 	}
 	a.stopDial = stop
 	a.mu.Unlock()
-	return u.dial.DialContext(ctx, "tcp", addr)
+	u.mu.Lock()
+	dial := u.dial
+	u.mu.Unlock()
+	return dial.DialContext(ctx, "tcp", addr)
 }
 
 // exchange writes the request in one call and reads the answer. The number of
