Give operators a loopback address for status, check, apply and roll back

Which generation is in force, which was refused and why could only be read from the log, and there was no way back but to replace the file. 'admin' in the configuration names a loopback address; absent, nothing listens. It answers programs on the same machine alone (a far address, another Host and what a browser was led to send are refused), holds four connections, reads at most 16 MiB and waits for no client longer than its time-outs.

--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/admin"
 	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/internal/node"
 )
@@ -101,6 +102,20 @@
 	}
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	if cfg.Admin.IsValid() {
+		ln, err := admin.Listen(cfg.Admin)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "pepperfall:", err)
+			return exitConfig
+		}
+		ctx, end := context.WithCancel(context.Background()) // a planned stop can be looked at too
+		defer end()
+		go func() {
+			if err := admin.Serve(ctx, ln, n); err != nil {
+				slog.Error("operators' address closed", "err", err)
+			}
+		}()
+	}
 	slog.Info("serving", "name", cfg.Name, "addr", n.Addr().String())
 	if err := n.Run(stop, hup); err != nil {
 		slog.Error("stopped", "err", err)
--- /dev/null
+++ b/internal/admin/admin.go
@@ -0,0 +1,215 @@
+// Package admin is the operators' door to an edge node: HTTP on a loopback
+// address that the configuration names.
+//
+//	GET  /status    what is in force, what is kept before it, what was refused and why
+//	POST /check     tells all faults of the file in the body, and changes nothing
+//	POST /apply     puts the configuration file in force as it is now
+//	POST /rollback  returns to the generation before; the file stays as it is
+//
+// It promises to answer none but programs on the same machine: it listens on a
+// loopback address only, and refuses what a browser was led to send. It holds at
+// most mostConns connections, reads a bounded body and waits for no client longer
+// than its time-outs, so that it takes nothing from the clients' side but them.
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"yardcleat.example/yardcleat/internal/config"
+	"yardcleat.example/yardcleat/internal/node"
+)
+
+const (
+	mostConns   = 4 // of the descriptors that clients and servers leave
+	mostHead    = 8 << 10
+	headTimeout = 2 * time.Second
+	bodyTimeout = 10 * time.Second
+	// A change waits for a half-written file and for its turn.
+	answerTimeout = 30 * time.Second
+)
+
+// Operated is what the door opens to.
+type Operated interface {
+	Status() node.Status
+	Check(raw []byte) error
+	Apply(ctx context.Context) error
+	RollBack(ctx context.Context) error
+}
+
+// Listen opens the door's address.
+func Listen(addr netip.AddrPort) (net.Listener, error) {
+	if !addr.Addr().IsLoopback() {
+		return nil, fmt.Errorf("admin: %v is not a loopback address", addr)
+	}
+	ln, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("admin: %w", err)
+	}
+	return &few{Listener: ln, places: make(chan struct{}, mostConns)}, nil
+}
+
+// Serve answers operators until ctx ends.
+func Serve(ctx context.Context, ln net.Listener, o Operated) error {
+	s := &http.Server{Handler: handler(o), ReadHeaderTimeout: headTimeout, ReadTimeout: bodyTimeout,
+		WriteTimeout: answerTimeout, IdleTimeout: headTimeout, MaxHeaderBytes: mostHead,
+		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)}
+	stop := context.AfterFunc(ctx, func() { s.Close() })
+	defer stop()
+	if err := s.Serve(ln); ctx.Err() == nil {
+		return fmt.Errorf("admin: %w", err)
+	}
+	return nil
+}
+
+func handler(o Operated) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, http.StatusOK, statusOf(o.Status()))
+	})
+	mux.HandleFunc("POST /check", func(w http.ResponseWriter, r *http.Request) {
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, config.MostBytes))
+		if err != nil {
+			fail(w, http.StatusRequestEntityTooLarge, err)
+			return
+		}
+		if err := o.Check(raw); err != nil {
+			fail(w, http.StatusUnprocessableEntity, err)
+			return
+		}
+		reply(w, http.StatusOK, map[string]any{"good": true, "digest": config.DigestOf(raw)})
+	})
+	change := func(what string, do func(context.Context) error) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			err := do(r.Context())
+			slog.Info("operator's command", "what", what, "from", r.RemoteAddr, "err", err)
+			switch {
+			case err == nil, errors.Is(err, config.ErrPassedOver):
+				reply(w, http.StatusOK, statusOf(o.Status()))
+			case errors.Is(err, config.ErrNoneBefore):
+				fail(w, http.StatusConflict, err)
+			default:
+				fail(w, http.StatusUnprocessableEntity, err)
+			}
+		}
+	}
+	mux.HandleFunc("POST /apply", change("apply", o.Apply))
+	mux.HandleFunc("POST /rollback", change("rollback", o.RollBack))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := local(r); err != nil {
+			fail(w, http.StatusForbidden, err)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// local refuses what does not come from a program on this machine: a page in a
+// browser here may send requests too, under a name that it led to this address.
+func local(r *http.Request) error {
+	if from, err := netip.ParseAddrPort(r.RemoteAddr); err != nil || !from.Addr().Unmap().IsLoopback() {
+		return errors.New("only for programs on this machine")
+	}
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	if a, err := netip.ParseAddr(host); host != "localhost" && (err != nil || !a.IsLoopback()) {
+		return fmt.Errorf("host %q is not a loopback address", r.Host)
+	}
+	if r.Header.Get("Origin") != "" || r.Header.Get("Sec-Fetch-Site") != "" {
+		return errors.New("not for pages in a browser")
+	}
+	return nil
+}
+
+// status is what operators read.
+type status struct {
+	Name       string      `json:"name"`
+	Ready      bool        `json:"ready"`
+	Draining   bool        `json:"draining"`
+	Generation generation  `json:"generation"`
+	Before     *generation `json:"before"`
+	Refused    *refusal    `json:"refused"`
+}
+
+type generation struct {
+	Number uint64    `json:"number"`
+	Digest string    `json:"digest"`
+	Since  time.Time `json:"since"`
+}
+
+type refusal struct {
+	Digest string    `json:"digest,omitempty"`
+	At     time.Time `json:"at"`
+	problem
+}
+
+type problem struct {
+	Error  string         `json:"error"`
+	Faults []config.Fault `json:"faults,omitempty"`
+}
+
+func statusOf(s node.Status) status {
+	out := status{Name: s.Name, Ready: s.Ready, Draining: s.Draining,
+		Generation: generation{s.Current.Number, s.Current.Digest, s.Current.Time}}
+	if s.Before != nil {
+		out.Before = &generation{s.Before.Number, s.Before.Digest, s.Before.Time}
+	}
+	if s.Refused != nil {
+		out.Refused = &refusal{s.Refused.Digest, s.Refused.Time, problemOf(s.Refused.Err)}
+	}
+	return out
+}
+
+func problemOf(err error) problem {
+	var faults config.Faults
+	errors.As(err, &faults)
+	return problem{err.Error(), faults}
+}
+
+func fail(w http.ResponseWriter, code int, err error) { reply(w, code, problemOf(err)) }
+
+func reply(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v) // the client has gone
+}
+
+// few accepts a few connections at a time; the next one waits.
+type few struct {
+	net.Listener
+	places chan struct{}
+}
+
+func (f *few) Accept() (net.Conn, error) {
+	f.places <- struct{}{}
+	c, err := f.Listener.Accept()
+	if err != nil {
+		<-f.places
+		return nil, err
+	}
+	return &placed{Conn: c, free: func() { <-f.places }}, nil
+}
+
+type placed struct {
+	net.Conn
+	once sync.Once
+	free func()
+}
+
+func (p *placed) Close() error {
+	p.once.Do(p.free)
+	return p.Conn.Close()
+}
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,180 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"yardcleat.example/yardcleat/internal/config"
+	"yardcleat.example/yardcleat/internal/node"
+)
+
+// operated is an edge node whose answers the test sets.
+type operated struct {
+	status node.Status
+	err    error
+	did    []string
+}
+
+func (o *operated) Status() node.Status { return o.status }
+func (o *operated) Check(raw []byte) error {
+	o.did = append(o.did, "check "+string(raw))
+	return o.err
+}
+func (o *operated) Apply(context.Context) error {
+	o.did = append(o.did, "apply")
+	return o.err
+}
+func (o *operated) RollBack(context.Context) error {
+	o.did = append(o.did, "rollback")
+	return o.err
+}
+
+func newDoor(t *testing.T) (*operated, string) {
+	t.Helper()
+	o := &operated{status: node.Status{Name: "n3", Ready: true,
+		Current: &config.Generation{Number: 4, Digest: "d4", Time: time.Unix(4, 0)},
+		Before:  &config.Generation{Number: 3, Digest: "d3", Time: time.Unix(3, 0)},
+		Refused: &config.Refusal{Digest: "d5", Time: time.Unix(5, 0), Err: config.Faults{{Field: "listen", What: "no port"}}}}}
+	ln, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- Serve(ctx, ln, o) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return o, "http://" + ln.Addr().String()
+}
+
+func call(t *testing.T, method, url, body string, change func(*http.Request)) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Close = true
+	if change != nil {
+		change(r)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(b)
+}
+
+func TestStatus(t *testing.T) {
+	_, url := newDoor(t)
+	code, body := call(t, "GET", url+"/status", "", nil)
+	var s status
+	if err := json.Unmarshal([]byte(body), &s); err != nil || code != 200 {
+		t.Fatal(code, body, err)
+	}
+	if s.Name != "n3" || !s.Ready || s.Generation.Number != 4 || s.Before.Digest != "d3" || s.Refused.Digest != "d5" ||
+		len(s.Refused.Faults) != 1 || s.Refused.Faults[0].Field != "listen" {
+		t.Errorf("%s", body)
+	}
+}
+
+func TestCommands(t *testing.T) {
+	o, url := newDoor(t)
+	for _, c := range []struct {
+		method, path string
+		err          error
+		code         int
+		did, body    string
+	}{
+		{"POST", "/check", nil, 200, "check {}", `"good": true`},
+		{"POST", "/check", config.Faults{{Field: "name", What: "x"}}, 422, "check {}", `"field": "name"`},
+		{"POST", "/apply", nil, 200, "apply", `"number": 4`},
+		{"POST", "/apply", config.ErrPassedOver, 200, "apply", `"number": 4`},
+		{"POST", "/apply", config.ErrUnreadable, 422, "apply", "not readable"},
+		{"POST", "/rollback", nil, 200, "rollback", `"number": 4`},
+		{"POST", "/rollback", config.ErrNoneBefore, 409, "rollback", "no generation"},
+		{"GET", "/apply", nil, 405, "", ""},
+		{"GET", "/rollback", nil, 405, "", ""},
+		{"GET", "/", nil, 404, "", ""},
+	} {
+		o.err, o.did = c.err, nil
+		code, body := call(t, c.method, url+c.path, "{}", nil)
+		if code != c.code || strings.Join(o.did, ",") != c.did || !strings.Contains(body, c.body) {
+			t.Errorf("%s %s: %d %v %s", c.method, c.path, code, o.did, body)
+		}
+	}
+}
+
+// Nothing but a program on this machine may do or see anything.
+func TestOthersAreRefused(t *testing.T) {
+	o, url := newDoor(t)
+	for why, change := range map[string]func(*http.Request){
+		"a name led here":   func(r *http.Request) { r.Host = "evil.example" },
+		"another's address": func(r *http.Request) { r.Host = "10.0.0.1:80" },
+		"a page":            func(r *http.Request) { r.Header.Set("Origin", "http://127.0.0.1") },
+		"a page's form":     func(r *http.Request) { r.Header.Set("Sec-Fetch-Site", "cross-site") },
+	} {
+		for _, path := range []string{"/rollback", "/apply", "/check"} {
+			if code, _ := call(t, "POST", url+path, "{}", change); code != 403 || len(o.did) > 0 {
+				t.Errorf("%s: %d, did %v", why, code, o.did)
+			}
+		}
+	}
+	r := &http.Request{RemoteAddr: "10.1.2.3:4", Host: "127.0.0.1"}
+	if local(r) == nil {
+		t.Error("a far address passed")
+	}
+	for _, host := range []string{"localhost:1", "127.0.0.1", "[::1]:80", "127.8.0.3:1"} {
+		if err := local(&http.Request{RemoteAddr: "127.0.0.1:4", Host: host}); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, addr := range []string{"0.0.0.0:0", "[::]:0", "10.0.0.1:0"} {
+		if ln, err := Listen(netip.MustParseAddrPort(addr)); err == nil {
+			ln.Close()
+			t.Errorf("listens on %s", addr)
+		}
+	}
+}
+
+// Silent connections take few descriptors, and are let go for others.
+func TestSilentConnections(t *testing.T) {
+	_, url := newDoor(t)
+	for range 3 * mostConns {
+		c, err := net.Dial("tcp", strings.TrimPrefix(url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	if code, _ := call(t, "GET", url+"/status", "", nil); code != 200 {
+		t.Errorf("%d", code)
+	}
+}
+
+func TestOversizeBody(t *testing.T) {
+	o, url := newDoor(t)
+	code, body := call(t, "POST", url+"/check", strings.Repeat(" ", config.MostBytes+1), nil)
+	if code != 413 || len(o.did) > 0 {
+		t.Errorf("%d %s", code, body)
+	}
+	var e problem
+	if json.Unmarshal([]byte(body), &e) != nil || e.Error == "" {
+		t.Errorf("%s", body)
+	}
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -6,7 +6,7 @@
 // immutable. History says which one is in force and what comes next: a file that
 // has a fault, or changes a field that is fixed until a restart, is refused whole
 // and the generation in force stays. At most two generations are kept, and a file
-// of at most mostBytes is read. Nothing here opens a socket or starts a goroutine.
+// of at most MostBytes is read. Nothing here opens a socket or starts a goroutine.
 package config
 
 import (
@@ -62,12 +62,18 @@
 	leastSockets   = 64
 	mostSockets    = 1 << 20
 	mostMemoryMB   = 1 << 24
-	mostBytes      = 16 << 20 // of a file: a list of 10,000 servers takes 2 MB
-	mostGateways   = 1 << 15  // their numbers fit into 16 bits of a message
+	mostGateways   = 1 << 15 // their numbers fit into 16 bits of a message
 )
 
+// MostBytes is the size of the largest file that is read: a list of 10,000
+// servers takes 2 MB.
+const MostBytes = 16 << 20
+
 // Fault is what is wrong with one field.
-type Fault struct{ Field, What string }
+type Fault struct {
+	Field string `json:"field"`
+	What  string `json:"what"`
+}
 
 func (f Fault) String() string { return f.Field + ": " + f.What }
 
@@ -107,12 +113,12 @@
 		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	defer f.Close()
-	data, err := io.ReadAll(io.LimitReader(f, mostBytes+1))
+	data, err := io.ReadAll(io.LimitReader(f, MostBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
-	if len(data) > mostBytes {
-		return nil, Faults{{"file", fmt.Sprintf("over %d bytes", mostBytes)}}
+	if len(data) > MostBytes {
+		return nil, Faults{{"file", fmt.Sprintf("over %d bytes", MostBytes)}}
 	}
 	return data, nil
 }
