Let a gateway start from what the one before knew, and grant nothing twice

The module gives a copy of what is worth keeping (servers' pace and faults by class, and stores once nothing more is let in) and takes it as one event. What is known of a server is worn by its age and void for another process. After a planned stop each store goes on where it was.

--- a/policy/api.go
+++ b/policy/api.go
@@ -242,6 +242,7 @@
 func (PeerMessage) event() {}
 func (Members) event()     {}
 func (Reconfigure) event() {}
+func (Restore) event()     {}
 
 func (Send) action()     {}
 func (Cancel) action()   {}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -43,6 +43,8 @@
 		g.onMembers(ev)
 	case Reconfigure:
 		g.reconfigure(ev.Settings)
+	case Restore:
+		g.restore(ev)
 	}
 	out, g.acts = g.acts, nil
 	return out
@@ -136,8 +138,7 @@
 	if !g.drain(c, 1<<30) || len(g.waiting) == 0 {
 		return
 	}
-	rest := slices.Clone(g.waiting)
-	slices.SortStableFunc(rest, func(a, b *customer) int {
+	rest := slices.SortedStableFunc(slices.Values(g.waiting), func(a, b *customer) int {
 		return cmp.Compare(a.held[0].arrived, b.held[0].arrived)
 	})
 	for _, w := range rest {
--- /dev/null
+++ b/policy/memory_test.go
@@ -0,0 +1,211 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// clerk keeps one customer's store as the platform does, and so knows what a
+// gateway lets in beyond it.
+type clerk struct {
+	plan   Plan
+	store  float64
+	at     time.Duration
+	beyond float64
+}
+
+func (c *clerk) take(now time.Duration, units float64) {
+	c.store = min(c.plan.Burst, c.store+c.plan.Rate*(now-c.at).Seconds())
+	c.at = now
+	if c.store < units-1e-6 { // sums of fractions
+		c.beyond += units
+		return
+	}
+	c.store -= units
+}
+
+// outage plays a gateway that keeps snapshots, ends at a moment drawn anew, by a
+// crash or a planned stop, and starts again from the last of them. It returns the
+// units let in and those beyond the quota.
+func outage(t *testing.T, seed uint64, crash, kept bool, hunger float64) (in, beyond float64) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 5))
+	s := base()
+	s.Gateways = 1
+	book := &clerk{plan: s.Plans[1], store: s.Plans[1].Burst, at: time.Second}
+	w := newWorld(t, s, fleet(8))
+	stop := w.now + time.Duration(rng.Int64N(int64(4*time.Second))) + time.Second
+	down := time.Duration(rng.Int64N(int64(2 * time.Second)))
+	var last Memory
+	var lastAt, ended time.Duration
+	for end := stop + down + 5*time.Second; w.now < end; w.now += 10 * ms {
+		if ended == 0 && w.now >= stop {
+			ended = w.now
+			if !crash {
+				last, lastAt = w.g.Memory(w.now, true), w.now
+			}
+			ids := w.ids
+			w.now += down
+			now := w.now
+			w = newWorld(t, s, nil)
+			w.ids, w.now = ids, now
+			g, err := New(s, seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.g = g
+			w.do(Members{Kind: Remembered, Servers: fleet(8)})
+			if kept {
+				w.do(Restore{Memory: last, Elapsed: w.now - lastAt, Clean: !crash})
+			}
+		}
+		if ended == 0 && (w.now/ms)%1000 == 0 {
+			last, lastAt = w.g.Memory(w.now, true), w.now
+		}
+		if (w.now/ms)%20 == 0 {
+			w.do(Timer{Token: "tick"})
+		}
+		if rng.Float64() < hunger/100 {
+			_, acts := w.ask("safe", "rate", "c", 1)
+			for _, x := range of[Send](acts) {
+				book.take(w.now, 1)
+				in++
+				w.end(x, 0, OK)
+			}
+		}
+	}
+	return in, book.beyond
+}
+
+// What is restored never lets in more than a process that had not ended: whenever
+// the end comes, of whichever kind, nothing goes beyond the quota. Without a
+// snapshot it does, which shows that the test can fail.
+func TestRestoredStoreGrantsNothingTwice(t *testing.T) {
+	for _, crash := range []bool{true, false} {
+		without := 0.0
+		for seed := range uint64(100) {
+			for _, hunger := range []float64{3, 12, 50} {
+				if _, beyond := outage(t, seed, crash, true, hunger); beyond > 0 {
+					t.Fatalf("seed %d, crash %v, %v a second asked: %v units beyond the quota", seed, crash, hunger, beyond)
+				}
+				_, beyond := outage(t, seed, crash, false, hunger)
+				without += beyond
+			}
+		}
+		if without == 0 {
+			t.Error("nothing goes beyond the quota without a snapshot either")
+		}
+	}
+}
+
+// A planned stop hands the stores on whole: what was left may be used at once,
+// and the time since fills it, up to the burst; a clock that went backwards fills
+// nothing.
+func TestStoreAfterPlannedStop(t *testing.T) {
+	s := base()
+	s.Gateways = 1
+	for _, c := range []struct {
+		elapsed time.Duration
+		want    int
+	}{{0, 4}, {200 * ms, 6}, {time.Hour, 10}, {-time.Hour, 4}} {
+		w := newWorld(t, s, fleet(8))
+		w.do(Restore{Memory: Memory{Stores: map[uint64]float64{keyOf("c"): 4}}, Elapsed: c.elapsed, Clean: true})
+		if n := w.spend(20, "rate"); n != c.want {
+			t.Errorf("%d units at once after %v, want %d", n, c.elapsed, c.want)
+		}
+		w.ids++
+		if acts := w.do(Request{ID: w.ids, Customer: "other", Plan: "rate", Class: "safe", Units: 10, Remaining: time.Second, Spread: 1}); len(of[Send](acts)) != 1 {
+			t.Errorf("%v for a customer whose store was full", acts)
+		}
+	}
+}
+
+// A customer that is new after a crash may have been new before it too.
+func TestUnknownCustomerAfterCrash(t *testing.T) {
+	s := base()
+	s.Gateways = 1
+	w := newWorld(t, s, fleet(8))
+	w.do(Restore{})
+	if n := w.spend(5, "rate"); n != 0 {
+		t.Errorf("%d units at once", n)
+	}
+	w.pass(500 * ms)
+	if n := w.spend(20, "rate"); n != 5 {
+		t.Errorf("%d units after half a second at 10 a second", n)
+	}
+	w.pass(2 * time.Second)
+	w.ids++
+	if acts := w.do(Request{ID: w.ids, Customer: "late", Plan: "rate", Class: "safe", Units: 10, Remaining: time.Second, Spread: 1}); len(of[Send](acts)) != 1 {
+		t.Errorf("%v for a customer that is new once a store has had time to fill", acts)
+	}
+}
+
+// What was known of a server is worn by its age and void for another process;
+// figures that can't have been are held to what can.
+func TestServersRemembered(t *testing.T) {
+	started := fleet(3)
+	for i := range started {
+		started[i].HasStart, started[i].Start = true, time.Duration(i+1)*ms
+	}
+	known := func(start time.Duration, slow float64) []ServerMemory {
+		return []ServerMemory{{ID: 1, HasStart: true, Start: start, Slow: slow, Pace: slow,
+			Faults: []FaultMemory{{Class: "safe", Errs: 0.8, Bad: 3 * time.Second}, {Class: "gone", Errs: 1}}}}
+	}
+	for _, c := range []struct {
+		name     string
+		mem      []ServerMemory
+		elapsed  time.Duration
+		low, top float64
+		bad      bool
+	}{
+		{"at once", known(ms, 4), 0, 4, 4, true},
+		{"a while later", known(ms, 4), 5 * time.Second, 2, 3.5, false},
+		{"far later", known(ms, 4), 10 * time.Minute, 1, 1, false},
+		{"another process", known(7*ms, 4), 0, 1, 1, false},
+		{"clock back", known(ms, 4), -time.Hour, 4, 4, true},
+		{"not a number", known(ms, math.NaN()), 0, 1, 1, true},
+		{"huge", known(ms, math.Inf(1)), 0, mostPace, mostPace, true},
+		{"another server", []ServerMemory{{ID: 9, Slow: 5}}, 0, 1, 1, false},
+	} {
+		w := newWorld(t, base(), started)
+		w.do(Restore{Memory: Memory{Servers: c.mem}, Elapsed: c.elapsed})
+		s := w.g.servers[1]
+		if s.slow < c.low || s.slow > c.top || s.pace < c.low || s.pace > c.top || s.by[0].bad != c.bad {
+			t.Errorf("%s: slow %v, pace %v, bad %v", c.name, s.slow, s.pace, s.by[0].bad)
+		}
+	}
+}
+
+// Memory is a copy: what the gateway does next does not show in it.
+func TestMemoryIsACopy(t *testing.T) {
+	w := newWorld(t, base(), fleet(3))
+	w.spend(3, "rate")
+	w.g.servers[2].by[0] = record{errs: 0.5, bad: true, until: w.now + time.Second}
+	m := w.g.Memory(w.now, true)
+	before := fmt.Sprintf("%+v", m)
+	w.spend(3, "rate")
+	w.g.servers[2].by[0].errs = 1
+	if after := fmt.Sprintf("%+v", m); after != before || len(m.Stores) != 1 || len(m.Servers) != 3 {
+		t.Errorf("%s\n%s", before, after)
+	}
+	if m := w.g.Memory(w.now, false); m.Stores != nil {
+		t.Errorf("%v", m.Stores)
+	}
+}
+
+// The stores that were kept are let go once they could tell nothing more.
+func TestKeptStoresAreLetGo(t *testing.T) {
+	w := newWorld(t, base(), fleet(3))
+	w.do(Restore{Memory: Memory{Stores: map[uint64]float64{1: 2}}, Clean: true})
+	w.pass(900 * ms)
+	if w.g.kept == nil {
+		t.Error("let go while a store may not be full")
+	}
+	w.pass(2 * time.Second)
+	if w.g.kept != nil {
+		t.Error("kept for good")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -117,14 +117,10 @@
 // small fleet all its gateways, in a large one its roots. The others ask.
 func (g *Gateway) account(key uint64, plan *quota, first, spread int) *customer {
 	spread = max(1, min(spread, g.set.Gateways))
-	c := &customer{key: key, hash: shortOf(key), plan: plan, n: float64(spread), store: plan.Burst,
-		part: 1, leases: map[lease]leased{}, first: first, spread: spread, at: g.now, areaAt: g.now,
+	c := &customer{key: key, hash: shortOf(key), plan: plan, n: float64(spread), part: 1, first: first,
+		store: g.firstStore(key, plan), leases: map[lease]leased{}, spread: spread, at: g.now, areaAt: g.now,
 		born: g.now}
 	g.seat(c)
-	// A restarted root knows nothing: it must not grant a whole store again.
-	if g.tree && plan.Rate > 0 && (g.now-g.start).Seconds() < plan.Burst/plan.Rate {
-		c.store *= freshFill
-	}
 	// The ceiling's own part starts empty at the gateway's start: after a
 	// restart it must not be granted a second time.
 	c.ceiling = min(plan.HardBurst, plan.HardRate*(g.now-g.start).Seconds()) / c.n
@@ -132,6 +128,25 @@
 	return c
 }
 
+// firstStore is what a store holds when a customer's counts begin. For as long as
+// it takes to fill, it may have been emptied before this gateway's start: it must
+// not be granted twice. After a crash nobody knows what was let in last, whatever
+// an earlier snapshot says: it holds what has flowed in since the start.
+func (g *Gateway) firstStore(key uint64, plan *quota) float64 {
+	age := (g.now - g.start).Seconds()
+	left, kept := g.kept[key]
+	switch {
+	case plan.Rate == 0 || age >= plan.Burst/plan.Rate:
+	case kept:
+		return min(plan.Burst, left+plan.Rate*(age+g.keptFor.Seconds()))
+	case g.restored && !g.clean:
+		return plan.Rate * age
+	case g.tree && !g.clean:
+		return plan.Burst * freshFill
+	}
+	return plan.Burst
+}
+
 // seat finds who sums a customer's counts, by the figures of its plan.
 func (g *Gateway) seat(c *customer) {
 	roots, deputy := g.roots(c)
@@ -281,8 +296,7 @@
 		return true
 	}
 	out, _ := g.others(c)
-	free := float64(c.plan.Open) - out
-	next := float64(c.out + 1)
+	free, next := float64(c.plan.Open)-out, float64(c.out+1)
 	if arrival {
 		return next <= max(free*g.share(c), min(1, free+arriveSlack))
 	}
@@ -324,8 +338,9 @@
 	// A client's repeat is often late. It gives way to first tries while requests
 	// wait for servers or the store is low. Guards against retry storms; harms
 	// where repeats come soon and aims are long.
-	scarce := c.plan.Rate > 0 && g.allowance(c) < r.units+retryReserve*c.plan.Burst
-	if !g.within(r) || r.repeat && (scarce || !r.remote && g.pressed()) {
+	scarce := c.plan.Rate > 0 && g.allowance(c) < r.units+retryReserve*c.plan.Burst ||
+		!r.remote && g.lackAt > 0 && g.now-g.lackAt < pressedFor
+	if !g.within(r) || r.repeat && scarce {
 		g.refuse(r)
 		return
 	}
@@ -338,9 +353,6 @@
 	}
 }
 
-// pressed tells whether a request lacked a server in the last moment.
-func (g *Gateway) pressed() bool { return g.lackAt > 0 && g.now-g.lackAt < pressedFor }
-
 // within tells whether quota and ceiling have the request's units.
 func (g *Gateway) within(r *request) bool {
 	c := r.c
@@ -481,8 +493,7 @@
 	return min(1, g.set.ColdShare+(1-g.set.ColdShare)*max(age, 0))
 }
 
-// load is the attempts out at a server: own, and the peers' as last reported,
-// or its own load report where that says more.
+// load is the attempts out at a server: own, and the peers' as last reported.
 func (g *Gateway) load(s *server) float64 {
 	return float64(s.out) + s.heard
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -205,6 +205,11 @@
 	speaks    map[int]uint16 // by which table a gateway speaks, where mixed
 	hinted    []int          // gateways told of the tables here since the last tick
 
+	restored bool               // it was told of the time before its start,
+	clean    bool               // and of all that was let in then
+	kept     map[uint64]float64 // stores, as they were so long before the start
+	keptFor  time.Duration
+
 	lapsedClasses map[string]*class // of the generation before, gone from the newest
 	lapsedPlans   map[string]*quota
 	reply         time.Duration // mean time to an answer
@@ -448,6 +453,9 @@
 // forget drops the servers that are gone for good and the customers for whom a
 // fresh start would come to the same.
 func (g *Gateway) forget() {
+	if g.kept != nil {
+		g.letGo()
+	}
 	g.fleet = slices.DeleteFunc(g.fleet, func(s *server) bool {
 		if s.State != Removed || s.out > 0 || g.now-s.goneAt < forgetAfter {
 			return false
