--- /dev/null
+++ b/internal/snapshot/snapshot_test.go
@@ -0,0 +1,568 @@
+package snapshot
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"math"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"reflect"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"encoding/binary"
+
+	"yardcleat.example/yardcleat/internal/roster"
+	"yardcleat.example/yardcleat/policy"
+)
+
+func sample() *State {
+	return &State{Name: "n3", Incarnation: 4, Sequence: 9, Clean: true,
+		Taken: Moment{Wall: time.Unix(1e9, 5), Boot: "b-1", Up: 77 * time.Second},
+		List: &roster.List{Rev: 41, All: true, Targets: []roster.Target{
+			{UID: "s-00000001", Endpoint: "127.0.0.1:80", State: "SERVING", Weight: 1, BootMS: 5}}},
+		Current: Generation{3, "d3", time.Unix(7, 0), []byte(`{"name":"n3"}`)},
+		Before:  Generation{2, "d2", time.Unix(6, 0), []byte(`{}`)},
+		Left:    "d4",
+		Memory: policy.Memory{
+			Servers: []policy.ServerMemory{
+				{ID: 1, HasStart: true, Start: 5, Slow: 1.5, Pace: 2, Faults: []policy.FaultMemory{{Class: "loan", Errs: 0.5, Bad: time.Second}}},
+				{ID: 2, Slow: 1, Pace: 1}},
+			Stores: map[uint64]float64{7: 1.25, 1 << 60: 0}}}
+}
+
+func encoded(t testing.TB, s *State) []byte {
+	t.Helper()
+	b, err := Encode(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// sealed puts the right check sum behind what a test has changed.
+func sealed(b []byte) []byte {
+	b = append([]byte(nil), b[:len(b)-trailer]...)
+	return binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+}
+
+func TestRoundTrip(t *testing.T) {
+	empty := &State{Name: "x", Taken: Moment{Wall: time.Unix(0, 0)}, Current: Generation{1, "d", time.Unix(1, 0), []byte{1}}}
+	for _, s := range []*State{sample(), empty} {
+		got, err := Decode(encoded(t, s), s.Name)
+		if err != nil || !reflect.DeepEqual(got, s) {
+			t.Errorf("%v\n got %+v\nwant %+v", err, got, s)
+		}
+	}
+	if _, err := Encode(&State{Name: strings.Repeat("n", 300)}); err == nil {
+		t.Error("a name that does not fit passed")
+	}
+}
+
+// A file cut at any byte, or with any bit turned, is told from a whole one.
+func TestDamage(t *testing.T) {
+	b := encoded(t, sample())
+	for n := range b {
+		if _, err := Decode(b[:n], "n3"); !errors.Is(err, ErrDamaged) && !errors.Is(err, ErrNewer) {
+			t.Fatalf("cut at %d: %v", n, err)
+		}
+	}
+	for i := range len(b) * 8 {
+		b[i/8] ^= 1 << (i % 8)
+		if _, err := Decode(b, "n3"); !errors.Is(err, ErrDamaged) && !errors.Is(err, ErrNewer) {
+			t.Fatalf("bit %d turned: %v", i, err)
+		}
+		b[i/8] ^= 1 << (i % 8)
+	}
+	if _, err := Decode(append(b, 0), "n3"); !errors.Is(err, ErrDamaged) {
+		t.Errorf("a byte more: %v", err)
+	}
+}
+
+func TestForeignAndNewer(t *testing.T) {
+	b := encoded(t, sample())
+	if _, err := Decode(b, "n4"); !errors.Is(err, ErrForeign) {
+		t.Error(err)
+	}
+	newer := append([]byte(nil), b...)
+	newer[len(magic)+1] = version + 1
+	if _, err := Decode(sealed(newer), "n3"); !errors.Is(err, ErrNewer) {
+		t.Error(err)
+	}
+	older := append([]byte(nil), b...)
+	older[len(magic)+1] = 0
+	if _, err := Decode(sealed(older), "n3"); !errors.Is(err, ErrDamaged) {
+		t.Error(err)
+	}
+}
+
+// A section that a later program of this format adds is passed over.
+func TestUnknownSection(t *testing.T) {
+	w := writer{b: []byte(magic)}
+	w.u16(version)
+	w.text("n3")
+	w.u64(1)
+	w.u64(2)
+	w.sized(func() {
+		w.section(999, func() { w.text("what is to come") })
+		w.section(sectionLeft, func() { w.text("d") })
+	})
+	if s, err := Decode(sealed(append(w.b, 0, 0, 0, 0)), "n3"); err != nil || s.Left != "d" || s.Sequence != 2 {
+		t.Error(s, err)
+	}
+}
+
+// Lengths that claim far more than is there cost no memory and no time, also
+// where the check sum is right.
+func TestClaims(t *testing.T) {
+	b := encoded(t, sample())
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	refused := 0
+	for i := len(magic); i+4 <= len(b)-trailer; i++ {
+		c := append([]byte(nil), b...)
+		binary.BigEndian.PutUint32(c[i:], math.MaxUint32)
+		if s, err := Decode(sealed(c), "n3"); err != nil {
+			refused++
+		} else if len(s.Memory.Servers) > 100 || len(s.Memory.Stores) > 100 {
+			t.Fatalf("claim at %d believed", i)
+		}
+	}
+	runtime.ReadMemStats(&after)
+	if mb := (after.TotalAlloc - before.TotalAlloc) >> 20; refused == 0 || mb > 64 {
+		t.Errorf("%d claims refused, %d MB taken", refused, mb)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b := encoded(f, sample())
+	f.Add(b)
+	f.Add(b[:len(b)/2])
+	f.Add([]byte(magic))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if len(b) < trailer {
+			b = append(b, 0, 0, 0, 0)
+		}
+		for _, c := range [][]byte{b, sealed(b)} { // behind the check sum too
+			s, err := Decode(c, "n3")
+			if err != nil {
+				if !errors.Is(err, ErrDamaged) && !errors.Is(err, ErrNewer) && !errors.Is(err, ErrForeign) {
+					t.Fatal(err)
+				}
+				continue
+			}
+			again, err := Decode(encoded(t, s), "n3")
+			if err != nil || again.Sequence != s.Sequence || len(again.Memory.Stores) != len(s.Memory.Stores) {
+				t.Fatalf("read once, not twice: %v", err)
+			}
+		}
+	})
+}
+
+func TestSince(t *testing.T) {
+	at := func(wall, up time.Duration, boot string) Moment {
+		return Moment{Wall: time.Unix(1e9, 0).Add(wall), Up: up, Boot: boot}
+	}
+	then := at(0, time.Minute, "b")
+	for _, c := range []struct {
+		name string
+		now  Moment
+		want time.Duration
+	}{
+		{"a second", at(time.Second, 61*time.Second+upStep, "b"), time.Second},
+		{"wall clock set back", at(-time.Hour, 61*time.Second, "b"), 0},
+		{"wall clock set ahead", at(time.Hour, 61*time.Second+upStep, "b"), time.Second},
+		{"kernel's clock back", at(time.Second, 0, "b"), 0},
+		{"after a power loss", at(time.Hour, 20*time.Second+upStep, "c"), 20 * time.Second},
+		{"no kernel's clock", at(3*time.Second, 0, ""), 3 * time.Second},
+	} {
+		if got := c.now.Since(then); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	a := Now()
+	if b := Now(); a.Boot == "" || b.Boot != a.Boot || b.Up < a.Up || b.Since(a) > time.Minute {
+		t.Errorf("%+v then %+v", a, b)
+	}
+}
+
+// disk models a directory of which a crash may lose whatever was not synced: of
+// each file any part behind what was, of the names any change since.
+type disk struct {
+	rng     *rand.Rand
+	names   map[string]*inode
+	lasting map[string]*inode
+	pending []func(map[string]*inode)
+
+	steps   int // calls so far
+	failAt  int // the call that fails, and all after it when crashed; 0: none
+	crashed bool
+	lax     string // the planted fault: "file" or "names" are not synced
+}
+
+type inode struct {
+	data   []byte
+	synced int
+}
+
+var errDisk = errors.New("no space left")
+
+// step counts a call; it fails where the test says so.
+func (d *disk) step() error {
+	d.steps++
+	if d.failAt > 0 && (d.steps == d.failAt || d.crashed && d.steps > d.failAt) {
+		return errDisk
+	}
+	return nil
+}
+
+func (d *disk) name(change func(map[string]*inode)) {
+	change(d.names)
+	d.pending = append(d.pending, change)
+}
+
+func (d *disk) Read(name string) ([]byte, error) {
+	n := d.names[name]
+	if n == nil {
+		return nil, fs.ErrNotExist
+	}
+	return n.data, nil
+}
+
+func (d *disk) Create(name string) (File, error) {
+	if err := d.step(); err != nil {
+		return nil, err
+	}
+	n := d.names[name]
+	if n == nil {
+		n = &inode{}
+		d.name(func(m map[string]*inode) { m[name] = n })
+	}
+	n.data, n.synced = nil, 0
+	return &handle{d, n}, nil
+}
+
+func (d *disk) Rename(from, to string) error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	n := d.names[from]
+	d.name(func(m map[string]*inode) {
+		if m[from] == n {
+			delete(m, from)
+		}
+		m[to] = n
+	})
+	return nil
+}
+
+func (d *disk) Sync() error {
+	if err := d.step(); err != nil {
+		return err
+	}
+	if d.lax != "names" {
+		d.settle(func() bool { return true })
+	}
+	return nil
+}
+
+// settle makes those changes of names last that keep tells.
+func (d *disk) settle(keep func() bool) {
+	for _, change := range d.pending {
+		if keep() {
+			change(d.lasting)
+		}
+	}
+	d.pending = nil
+}
+
+type handle struct {
+	d *disk
+	n *inode
+}
+
+func (h *handle) Write(b []byte) (int, error) {
+	if err := h.d.step(); err != nil {
+		half := len(b) / 2 // a full disk takes a part
+		h.n.data = append(h.n.data, b[:half]...)
+		return half, err
+	}
+	h.n.data = append(h.n.data, b...)
+	return len(b), nil
+}
+
+func (h *handle) Sync() error {
+	if err := h.d.step(); err != nil {
+		return err
+	}
+	if h.d.lax != "file" {
+		h.n.synced = len(h.n.data)
+	}
+	return nil
+}
+
+func (h *handle) Close() error { return h.d.step() }
+
+// crash is the disk as the next start finds it.
+func (d *disk) crash() *disk {
+	d.settle(func() bool { return d.rng.IntN(2) == 0 })
+	next := &disk{rng: d.rng, names: map[string]*inode{}, lasting: map[string]*inode{}, lax: d.lax}
+	kept := map[*inode]*inode{}
+	for name, n := range d.lasting {
+		if kept[n] == nil {
+			size := n.synced + d.rng.IntN(len(n.data)-n.synced+1)
+			kept[n] = &inode{data: append([]byte(nil), n.data[:size]...), synced: size}
+		}
+		next.names[name], next.lasting[name] = kept[n], kept[n]
+	}
+	return next
+}
+
+func newDisk(seed uint64, lax string) *disk {
+	return &disk{rng: rand.New(rand.NewPCG(seed, 1)), names: map[string]*inode{}, lasting: map[string]*inode{}, lax: lax}
+}
+
+// outages writes snapshots on a disk that fails at a step of the seed's choice,
+// by a crash or an error, several lives long, and checks at each start that the
+// last acknowledged state is there, or the one that was being written.
+func outages(seed uint64, lax string) error {
+	d := newDisk(seed, lax)
+	acked, tried := uint64(0), uint64(0) // as numbers of the states
+	for life := range 6 {
+		s, found := Open(d, "n3")
+		got := uint64(0)
+		if found.State != nil {
+			got = found.State.Current.Number
+			if want := fmt.Sprint(got); string(found.State.Current.Raw) != want {
+				return fmt.Errorf("life %d: state %d holds %q", life, got, found.State.Current.Raw)
+			}
+		}
+		if got != acked && got != tried {
+			return fmt.Errorf("life %d: found %d, acknowledged %d, being written %d (%v)", life, got, acked, tried, found.Problems)
+		}
+		if found.Complete && got < acked {
+			return fmt.Errorf("life %d: %d passes for the last, %d was acknowledged", life, got, acked)
+		}
+		acked = got
+		if tried < got {
+			tried = got
+		}
+		next := max(acked, tried)
+		d.failAt, d.crashed = d.steps+1+d.rng.IntN(30), d.rng.IntN(2) == 0
+		for range 6 {
+			next++
+			tried = next
+			_, err := s.Write(&State{Current: Generation{Number: next, Time: time.Unix(1, 0), Raw: fmt.Append(nil, next)}})
+			if err == nil {
+				acked = next
+			} else if d.crashed {
+				break
+			}
+		}
+		d = d.crash()
+	}
+	return nil
+}
+
+func TestCrashAtEveryStep(t *testing.T) {
+	for seed := range uint64(5000) {
+		if err := outages(seed, ""); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+}
+
+// The model catches a writer that syncs too little.
+func TestModelCatchesMissingSyncs(t *testing.T) {
+	for _, lax := range []string{"file", "names"} {
+		caught := false
+		for seed := range uint64(2000) {
+			caught = caught || outages(seed, lax) != nil
+		}
+		if !caught {
+			t.Errorf("unsynced %s went unseen", lax)
+		}
+	}
+}
+
+// What was written cleanly passes for the last only while nothing that may have
+// come after it is lost.
+func TestComplete(t *testing.T) {
+	d := newDisk(1, "")
+	s, found := Open(d, "n3")
+	if found.State != nil || found.Complete {
+		t.Fatalf("%+v in an empty directory", found)
+	}
+	state := func(n uint64) *State {
+		return &State{Clean: true, Current: Generation{Number: n, Time: time.Unix(1, 0)}}
+	}
+	for n := range uint64(3) {
+		if _, err := s.Write(state(n + 1)); err != nil {
+			t.Fatal(err)
+		}
+		if _, found := Open(d, "n3"); !found.Complete || found.State.Current.Number != n+1 {
+			t.Errorf("after %d: %+v", n+1, found)
+		}
+	}
+	newest, other := slot(3), slot(2)
+	whole := d.names[newest].data
+	for why, spoil := range map[string]func(){
+		"the newest damaged": func() { d.names[newest] = &inode{data: whole[:9]} },
+		"the newest lost":    func() { delete(d.names, newest) },
+		"the other damaged":  func() { d.names[newest], d.names[other] = &inode{data: whole}, &inode{data: []byte("x")} },
+	} {
+		was := map[string]*inode{newest: d.names[newest], other: d.names[other]}
+		spoil()
+		if _, found := Open(d, "n3"); found.Complete || found.State == nil {
+			t.Errorf("%s: %+v", why, found)
+		}
+		d.names[newest], d.names[other] = was[newest], was[other]
+	}
+	if _, found := Open(d, "other"); found.State != nil || len(found.Problems) != 2 {
+		t.Errorf("%+v for another edge node", found)
+	}
+}
+
+// Each step of a write may fail: the snapshot before stays, and the next write
+// succeeds.
+func TestNoSpace(t *testing.T) {
+	for at := 1; at <= 6; at++ {
+		d := newDisk(1, "")
+		s, _ := Open(d, "n3")
+		state := func(n uint64) *State { return &State{Current: Generation{Number: n, Time: time.Unix(1, 0)}} }
+		if _, err := s.Write(state(1)); err != nil {
+			t.Fatal(err)
+		}
+		d.failAt = d.steps + at
+		if _, err := s.Write(state(2)); !errors.Is(err, errDisk) {
+			t.Fatalf("step %d: %v", at, err)
+		}
+		if _, found := Open(d, "n3"); found.State == nil || found.State.Current.Number > 2 {
+			t.Errorf("step %d: %+v", at, found)
+		}
+		if _, err := s.Write(state(3)); err != nil {
+			t.Fatal(err)
+		}
+		if _, found := Open(d, "n3"); found.State.Current.Number != 3 {
+			t.Errorf("step %d: %+v", at, found.State)
+		}
+	}
+}
+
+// gate is a disk that holds each write until the test lets it go.
+type gate struct {
+	*disk
+	go_ chan struct{}
+}
+
+func (g gate) Create(name string) (File, error) {
+	<-g.go_
+	return g.disk.Create(name)
+}
+
+// A slow disk never holds up who offers: the newest state wins, and what was
+// dropped is counted. A failing one is counted too.
+func TestWriterNeverWaits(t *testing.T) {
+	g := gate{newDisk(1, ""), make(chan struct{})}
+	s, _ := Open(g, "n3")
+	w := NewWriter(s)
+	const n = 100
+	for i := range uint64(n) {
+		w.Offer(&State{Current: Generation{Number: i + 1, Time: time.Unix(1, 0)}})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if w.Close(ctx) {
+		t.Error("written by a disk that stands still")
+	}
+	close(g.go_)
+	<-w.done
+	c := w.Counts()
+	if _, found := Open(g.disk, "n3"); found.State.Current.Number != n || c.Dropped < n-3 || c.Written+c.Dropped != n {
+		t.Errorf("%d found, %+v", found.State.Current.Number, c)
+	}
+	d := newDisk(1, "")
+	d.failAt, d.crashed = 1, true
+	s, _ = Open(d, "n3")
+	w = NewWriter(s)
+	w.Offer(&State{})
+	if w.Close(context.Background()) || w.Counts().Failed != 1 || w.Counts().Error == "" {
+		t.Errorf("%+v", w.Counts())
+	}
+}
+
+// One process keeps its snapshots in a directory; the lock ends with it, however
+// it ends.
+func TestOneWriter(t *testing.T) {
+	if path := os.Getenv("SNAPSHOT_DIR"); path != "" {
+		if _, err := OpenDir(path); err != nil {
+			fmt.Println(err)
+			os.Exit(3)
+		}
+		fmt.Println("locked")
+		select {}
+	}
+	path := filepath.Join(t.TempDir(), "state")
+	child := exec.Command(os.Args[0], "-test.run=^TestOneWriter$")
+	child.Env = append(os.Environ(), "SNAPSHOT_DIR="+path)
+	out, err := child.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := out.Read(make([]byte, 6)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := OpenDir(path); !errors.Is(err, ErrInUse) {
+		t.Errorf("%v while another process writes there", err)
+	}
+	if err := child.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	_ = child.Wait()
+	d, err := OpenDir(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	s, found := Open(d, "n3")
+	if found.State != nil || len(found.Problems) > 0 {
+		t.Errorf("%+v", found)
+	}
+	if _, err := s.Write(sample()); err != nil {
+		t.Fatal(err)
+	}
+	_, found = Open(d, "n3")
+	if found.State == nil || found.State.Current.Number != 3 || found.State.Sequence != 1 || found.State.Incarnation != 1 {
+		t.Errorf("%+v", found)
+	}
+	if err := os.Mkdir(filepath.Join(path, slot(0)), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, found := Open(d, "n3"); found.State == nil || found.Complete || len(found.Problems) != 1 {
+		t.Errorf("%+v with a folder in a slot's place", found)
+	}
+}
+
+// A directory that can't be used is an error, not a crash.
+func TestUnusableDirectory(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range []string{file, filepath.Join(file, "below"), "/proc/none"} {
+		if d, err := OpenDir(path); err == nil {
+			d.Close()
+			t.Errorf("%s passed", path)
+		}
+	}
+}
