Keep an edge node's state where the configuration names a directory, and go on from it

An edge node that died came back knowing only the list in its configuration file. With 'state_dir' it keeps its list, servers' paces and faults, the accepted generation and the one before, and at a planned stop its customers' stores. The loop hands over a copy and never waits; the last copy ends the loop, so that no unit is let in behind it. A list under 10 s old makes the edge node ready at once. A file that can't be used at a start gives way to the generation that was in force, and one that was rolled back from stays so.

Without a state directory, too: where discovery refuses at once the list held has to do at once, not after a second (an open point of the README).

--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -21,6 +21,7 @@
 	"yardcleat.example/yardcleat/internal/admin"
 	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/internal/node"
+	"yardcleat.example/yardcleat/internal/snapshot"
 )
 
 const (
@@ -80,12 +81,46 @@
 	return 0
 }
 
+// recall reads the configuration, and what is kept where that or the environment
+// names a state directory. A directory that can't be used is no reason not to
+// serve: the edge node starts without it.
+func recall(src config.Source) (*config.History, *node.Kept, error) {
+	path, name := src.Getenv("GW_STATE_DIR"), src.Getenv("GW_NAME")
+	if f, _, err := src.Load(); err == nil {
+		path, name = f.StateDir, f.Name
+	}
+	if path == "" || name == "" {
+		h, err := config.Start(src, time.Now())
+		return h, nil, err
+	}
+	dir, err := snapshot.OpenDir(path)
+	if err != nil {
+		slog.Error("the state directory can't be used; no snapshots are kept", "err", err)
+		h, err := config.Start(src, time.Now())
+		return h, nil, err
+	}
+	store, found := snapshot.Open(dir, name)
+	for _, p := range found.Problems {
+		slog.Warn("snapshot passed over", "why", p)
+	}
+	kept := &node.Kept{Store: store, Found: found}
+	if found.State == nil {
+		h, err := config.Start(src, time.Now())
+		return h, kept, err
+	}
+	h, notes, err := config.Resume(src, found.State.Current, found.State.Before, found.State.Left, time.Now())
+	for _, n := range notes {
+		slog.Warn("configuration", "note", n)
+	}
+	return h, kept, err
+}
+
 func run() int {
 	hup := make(chan os.Signal, 1) // caught from the start: by default it would end the process
 	signal.Notify(hup, syscall.SIGHUP)
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	runtime.GOMAXPROCS(1) // an edge node has one core
-	history, err := config.Start(config.Source{Getenv: os.Getenv}, time.Now())
+	history, kept, err := recall(config.Source{Getenv: os.Getenv})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "pepperfall: configuration:", err)
 		return exitConfig
@@ -95,7 +130,7 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
-	n, err := node.New(history)
+	n, err := node.New(history, kept)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "pepperfall:", err)
 		return exitConfig
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -140,6 +140,16 @@
 	Generation generation  `json:"generation"`
 	Before     *generation `json:"before"`
 	Refused    *refusal    `json:"refused"`
+	Snapshots  *snapshots  `json:"snapshots"` // null: none are kept
+}
+
+type snapshots struct {
+	Written int       `json:"written"`
+	Failed  int       `json:"failed"`
+	Dropped int       `json:"dropped"`
+	Bytes   int64     `json:"bytes"`
+	Last    time.Time `json:"last"`
+	Error   string    `json:"error,omitempty"`
 }
 
 type generation struct {
@@ -165,6 +175,9 @@
 	if s.Before != nil {
 		out.Before = &generation{s.Before.Number, s.Before.Digest, s.Before.Time}
 	}
+	if k := s.Keeping; k != nil {
+		out.Snapshots = &snapshots{k.Written, k.Failed, k.Dropped, k.Bytes, k.Last, k.Error}
+	}
 	if s.Refused != nil {
 		out.Refused = &refusal{s.Refused.Digest, s.Refused.Time, problemOf(s.Refused.Err)}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -253,3 +253,73 @@
 		}
 	})
 }
+
+// A process goes on from what was in force before it ended; what was kept is as
+// untrusted as the file.
+func TestResume(t *testing.T) {
+	alter := func(port string) string { return strings.Replace(testFile, `"127.0.0.1:1"`, `"127.0.0.1:`+port+`"`, 1) }
+	kept := func(n uint64, text string) Kept {
+		return Kept{Number: n, Digest: DigestOf([]byte(text)), Time: time.Unix(int64(n), 0), Raw: []byte(text)}
+	}
+	broken := kept(5, alter("5"))
+	broken.Raw = broken.Raw[:40]
+	faulty := strings.Replace(testFile, `"tick_ms":1`, `"tick_ms":0`, 1)
+	for _, c := range []struct {
+		name            string
+		file            string
+		current, before Kept
+		left            string
+		number          uint64 // 0: no start
+		port            string
+		back            uint64 // 0: none to return to
+		refused         bool
+		notes           int
+	}{
+		{"the same file", alter("5"), kept(5, alter("5")), kept(4, alter("4")), "", 5, "5", 4, false, 0},
+		{"a newer file", alter("6"), kept(5, alter("5")), kept(4, alter("4")), "", 6, "6", 5, false, 0},
+		{"a faulty file", faulty, kept(5, alter("5")), kept(4, alter("4")), "", 5, "5", 4, true, 1},
+		{"half a file", alter("6")[:50], kept(5, alter("5")), Kept{}, "", 5, "5", 0, true, 1},
+		{"rolled back from", alter("6"), kept(7, alter("5")), Kept{}, DigestOf([]byte(alter("6"))), 7, "5", 0, false, 1},
+		{"kept one broken", alter("6"), broken, kept(4, alter("4")), "", 6, "6", 0, false, 1},
+		{"kept one faulty", alter("6"), kept(5, faulty), Kept{}, "", 6, "6", 0, false, 1},
+		{"before broken", alter("5"), kept(5, alter("5")), broken, "", 5, "5", 0, false, 1},
+		{"nothing to go by", faulty, broken, Kept{}, "", 0, "", 0, false, 0},
+		{"nothing kept", faulty, Kept{}, Kept{}, "", 0, "", 0, false, 0},
+	} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(c.file), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		src := Source{func(key string) string { return map[string]string{"GW_CONFIG": path}[key] }}
+		h, notes, err := Resume(src, c.current, c.before, c.left, time.Unix(99, 0))
+		if (err != nil) != (c.number == 0) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		if err != nil {
+			continue
+		}
+		back := uint64(0)
+		if h.Before() != nil {
+			back = h.Before().Number
+		}
+		if h.Current().Number != c.number || h.Current().File.Discovery != "127.0.0.1:"+c.port || back != c.back ||
+			(h.Refused() != nil) != c.refused || len(notes) != c.notes {
+			t.Errorf("%s: generation %d, %s, back to %d, refused %v, %v", c.name, h.Current().Number, h.Current().File.Discovery,
+				back, h.Refused(), notes)
+		}
+	}
+}
+
+// A generation from before a restart may differ in what is fixed now: there is no
+// way back to it.
+func TestRollBackOverRestart(t *testing.T) {
+	b := newBench(t)
+	other := strings.Replace(testFile, `["127.0.0.1:5"]`, `["127.0.0.1:6"]`, 1)
+	h, _, err := Resume(Source{func(key string) string { return map[string]string{"GW_CONFIG": b.path}[key] }}, Kept{1, DigestOf([]byte(other)), b.now, []byte(other)}, Kept{}, "", b.now)
+	if err == nil {
+		_, err = h.Back(b.now)
+	}
+	if err == nil || !strings.Contains(err.Error(), "peers: can't change") {
+		t.Error(err)
+	}
+}
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -25,6 +25,22 @@
 	Err    error
 }
 
+// Kept is a generation as it is kept outside the process.
+type Kept struct {
+	Number uint64 // 0: there is none
+	Digest string
+	Time   time.Time
+	Raw    []byte
+}
+
+// Kept is the generation without what can be read from its bytes.
+func (g *Generation) Kept() Kept {
+	if g == nil {
+		return Kept{}
+	}
+	return Kept{g.Number, g.Digest, g.Time, g.Raw}
+}
+
 // DigestOf names a file by what it holds.
 func DigestOf(raw []byte) string {
 	sum := sha256.Sum256(raw)
@@ -48,23 +64,73 @@
 // ErrNoneBefore is what rolling back finds when there is nothing to return to.
 var ErrNoneBefore = errors.New("no generation is kept before the one in force")
 
+// Load reads and checks the file.
+func (s Source) Load() (*File, []byte, error) {
+	raw, err := s.Read()
+	if err != nil {
+		return nil, nil, err
+	}
+	f, err := s.Parse(raw)
+	return f, raw, err
+}
+
 // Start reads and checks the file that a process starts with.
 func Start(src Source, now time.Time) (*History, error) {
-	raw, err := src.Read()
+	f, raw, err := src.Load()
 	if err != nil {
 		return nil, err
 	}
-	f, err := src.Parse(raw)
-	if err != nil {
-		return nil, err
+	return &History{src: src.reload(), current: &Generation{1, DigestOf(raw), now, raw, f}}, nil
+}
+
+// Resume starts with the file too, and goes on from what was in force before the
+// process ended. The generation that was in force comes back where the file can't
+// be used, since a crash must not turn a refused change into an outage, and where
+// it is the one that an operator had rolled back from. Notes tell what was made of
+// it.
+func Resume(src Source, current, before Kept, left string, now time.Time) (h *History, notes []string, err error) {
+	f, raw, err := src.Load()
+	digest := DigestOf(raw)
+	was, wasErr := src.revive(current)
+	h = &History{src: src.reload()}
+	switch {
+	case err != nil && wasErr != nil:
+		return nil, nil, err
+	case err != nil:
+		h.refused = &Refusal{Time: now, Err: err}
+		h.current, h.left = was, left
+		notes = append(notes, fmt.Sprintf("the file can't be used (%v): generation %d comes back", err, was.Number))
+	case wasErr != nil:
+		h.current = &Generation{current.Number + 1, digest, now, raw, f}
+		notes = append(notes, fmt.Sprintf("the generation before the start can't be used: %v", wasErr))
+		return h, notes, nil
+	case digest == current.Digest:
+		h.current, h.left = &Generation{current.Number, digest, current.Time, raw, f}, left
+	case digest == left:
+		h.current, h.left = was, left
+		notes = append(notes, fmt.Sprintf("the file was rolled back from: generation %d comes back", was.Number))
+	default:
+		h.current, h.before = &Generation{current.Number + 1, digest, now, raw, f}, was
+		return h, notes, nil
+	}
+	if before.Number > 0 {
+		if h.before, err = src.revive(before); err != nil {
+			notes = append(notes, fmt.Sprintf("generation %d can't be returned to: %v", before.Number, err))
+		}
 	}
-	return Resume(src, &Generation{Number: 1, Digest: DigestOf(raw), Time: now, Raw: raw, File: f}, nil, ""), nil
+	return h, notes, nil
 }
 
-// Resume is the history of a process that knows what was in force before it
-// started.
-func Resume(src Source, current, before *Generation, left string) *History {
-	return &History{src: src.reload(), current: current, before: before, left: left}
+// revive checks a generation that was kept: it may be of another program.
+func (s Source) revive(k Kept) (*Generation, error) {
+	if k.Number == 0 || DigestOf(k.Raw) != k.Digest {
+		return nil, errors.New("it is not whole")
+	}
+	f, err := s.Parse(k.Raw)
+	if err != nil {
+		return nil, err
+	}
+	return &Generation{k.Number, k.Digest, k.Time, k.Raw, f}, nil
 }
 
 // Path is the file's.
@@ -125,6 +191,9 @@
 	if h.before == nil {
 		return nil, ErrNoneBefore
 	}
+	if faults := fixed(h.current.File, h.before.File); len(faults) > 0 {
+		return nil, faults // it was in force before a restart
+	}
 	return h.next(h.before.Digest, now, h.before.Raw, h.before.File), nil
 }
 
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -210,7 +210,12 @@
 
 func start(t *testing.T, cfg *config.History) *running {
 	t.Helper()
-	n, err := New(cfg)
+	return startFrom(t, cfg, nil)
+}
+
+func startFrom(t *testing.T, cfg *config.History, kept *Kept) *running {
+	t.Helper()
+	n, err := New(cfg, kept)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/node/keep.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"yardcleat.example/yardcleat/internal/roster"
+	"yardcleat.example/yardcleat/internal/snapshot"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// How old a piece of a snapshot may be. Stores need no limit: the time since fills
+// them.
+const (
+	keptList    = 24 * time.Hour   // addresses may have gone to other servers since
+	freshList   = 10 * time.Second // no older than what discovery may tell
+	keptServers = 30 * time.Second // judgements wear off in a third of that
+)
+
+const (
+	keepLook  = time.Second     // a new list or generation is kept after so long at the latest
+	keepEvery = 5 * time.Second // and the servers' paces, which wear off in twice that
+	keepStart = time.Second     // the first snapshot of a process is given so long before it serves
+	keepStop  = time.Second     // and the last one after it has served
+)
+
+// Kept is where an edge node keeps its snapshots, and what it found there.
+type Kept struct {
+	Store *snapshot.Store
+	Found snapshot.Found
+}
+
+// keeper hands the edge node's state to the writer. It is the loop's, but for
+// the writer.
+type keeper struct {
+	writer *snapshot.Writer
+	status func() *Status
+	rev    int64
+	list   map[string]roster.Target
+	whole  *roster.List // list as it was kept last; nil: it has changed since
+	number uint64       // generation that was kept last
+	at     time.Duration
+}
+
+func newKeeper(s *snapshot.Store, status func() *Status) *keeper {
+	return &keeper{writer: snapshot.NewWriter(s), status: status, list: map[string]roster.Target{}}
+}
+
+// capture has the loop hand a state to the writer; the last is the end of the
+// loop, so that nothing is let in behind it.
+type capture struct{ last bool }
+
+// members follows the list.
+func (k *keeper) members(l *roster.List, whole bool) {
+	if whole {
+		clear(k.list)
+	}
+	k.rev, k.whole = l.Rev, nil
+	for _, t := range l.Targets {
+		if t.State == roster.Gone {
+			delete(k.list, t.UID)
+		} else {
+			k.list[t.UID] = t
+		}
+	}
+}
+
+// state is what is to be kept, or nil where nothing has changed for long enough.
+func (k *keeper) state(l *loop, last bool) *snapshot.State {
+	now, st := l.clock.now(), k.status()
+	if !last && k.whole != nil && k.number == st.Current.Number && now-k.at < keepEvery {
+		return nil
+	}
+	if k.whole == nil {
+		k.whole = &roster.List{Rev: k.rev, All: true}
+		for _, t := range k.list {
+			k.whole.Targets = append(k.whole.Targets, t)
+		}
+		slices.SortFunc(k.whole.Targets, func(a, b roster.Target) int { return strings.Compare(a.UID, b.UID) })
+	}
+	k.at, k.number = now, st.Current.Number
+	return &snapshot.State{Taken: snapshot.Now(), Clean: last, List: k.whole, Current: st.Current.Kept(),
+		Before: st.Before.Kept(), Left: st.Left, Memory: l.gateway.Memory(now, last)}
+}
+
+// restore gives the loop what was kept, before anything else comes, and tells
+// whether the list is as good as discovery's. The stores of a planned stop count
+// once a snapshot without them is in place: a crash from now on must not find them
+// again.
+func (n *Node) restore(kept *Kept) (fresh bool) {
+	known := n.cfg.Known
+	if kept == nil {
+		n.remember(known)
+		return false
+	}
+	old, found := kept.Found.State, kept.Found
+	event := policy.Restore{}
+	if old != nil {
+		now := snapshot.Now()
+		event.Elapsed = now.Since(old.Taken)
+		age := max(event.Elapsed, now.Wall.Sub(old.Taken.Wall))
+		if old.List != nil && age <= keptList && (known == nil || old.List.Rev >= known.Rev) {
+			known, fresh = old.List, age <= freshList
+		}
+		if age <= keptServers {
+			event.Servers = old.Memory.Servers
+		}
+		event.Clean = old.Clean && found.Complete
+		event.Stores = old.Memory.Stores
+		slog.Info("snapshot found", "sequence", old.Sequence, "age", age.Round(time.Millisecond), "stores", len(event.Stores),
+			"servers", len(event.Servers), "planned stop", event.Clean, "list", fresh)
+	}
+	st := n.status.Load()
+	n.keep.writer.Offer(&snapshot.State{Taken: snapshot.Now(), List: known, Current: st.Current.Kept(), Before: st.Before.Kept(),
+		Left: st.Left, Memory: policy.Memory{Servers: event.Servers}})
+	ctx, end := context.WithTimeout(n.ctx, keepStart)
+	defer end()
+	if !n.keep.writer.First(ctx) {
+		slog.Error("no snapshot could be written before the start", "err", n.keep.writer.Counts().Error)
+		event.Clean = false
+	}
+	n.remember(known)
+	if old != nil || len(found.Problems) > 0 {
+		n.loop.events <- event
+	}
+	return fresh && known != nil && len(known.Targets) > 0
+}
+
+// remember gives the loop a list from before the start.
+func (n *Node) remember(l *roster.List) {
+	if l != nil && len(l.Targets) > 0 {
+		n.loop.events <- members{l, policy.Remembered}
+	}
+}
+
+// keepOn has the loop look now and then whether there is something to keep.
+func (n *Node) keepOn(ctx context.Context) {
+	t := time.NewTicker(keepLook)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.loop.events <- capture{}
+		}
+	}
+}
+
+// keepLast keeps the state of an edge node that has answered all it took.
+func (n *Node) keepLast() {
+	n.loop.events <- capture{last: true}
+	<-n.loop.over
+	ctx, end := context.WithTimeout(context.Background(), keepStop)
+	defer end()
+	if !n.keep.writer.Close(ctx) {
+		slog.Error("the last snapshot is not written: the next start counts as one after a crash", "err", n.keep.writer.Counts().Error)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -93,6 +93,8 @@
 	onApply func(gen *config.Generation) // puts its limits in force elsewhere
 	reread  func(c *call) error          // reads a request anew, by the generation in force
 
+	keep   *keeper       // nil: no snapshots are kept
+	over   chan struct{} // closed when run has ended
 	events chan any
 	nextID policy.RequestID
 	calls  map[policy.RequestID]*call
@@ -105,12 +107,13 @@
 }
 
 func newLoop(c clock, g *policy.Gateway, up *upstream) *loop {
-	return &loop{clock: c, gateway: g, up: up, events: make(chan any, eventQueue),
+	return &loop{clock: c, gateway: g, up: up, events: make(chan any, eventQueue), over: make(chan struct{}),
 		calls: map[policy.RequestID]*call{}, names: map[string]*call{}, timer: time.NewTimer(time.Hour)}
 }
 
 // run handles events until done is closed.
 func (l *loop) run(done <-chan struct{}) {
+	defer close(l.over)
 	defer l.timer.Stop()
 	l.look()
 	for {
@@ -119,6 +122,10 @@
 		case <-done:
 			return
 		case ev := <-l.events:
+			if c, ok := ev.(capture); ok && c.last {
+				l.keep.writer.Offer(l.keep.state(l, true))
+				return
+			}
 			l.handle(ev)
 		case <-l.timer.C:
 			l.wake = 0
@@ -162,6 +169,12 @@
 		l.members(ev)
 	case apply:
 		l.apply(ev)
+	case policy.Restore:
+		l.decide(ev)
+	case capture:
+		if st := l.keep.state(l, false); st != nil {
+			l.keep.writer.Offer(st)
+		}
 	}
 }
 
@@ -278,8 +291,14 @@
 		if l.mustAsk {
 			l.decide(policy.Members{Kind: policy.AskFailed})
 		}
+		if l.onList != nil {
+			l.onList(policy.AskFailed)
+		}
 		return
 	}
+	if l.keep != nil {
+		l.keep.members(m.list, m.kind != policy.Changes)
+	}
 	l.up.update(m.list, m.kind != policy.Changes)
 	ev := policy.Members{Kind: m.kind}
 	for i := range m.list.Targets {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,8 @@
 	cfg      *config.File // as it was at the start
 	changing sync.Mutex   // held while a generation is proposed and put in force
 	history  *config.History
+	kept     *Kept
+	keep     *keeper // nil: no snapshots are kept
 	status   atomic.Pointer[Status]
 	ctx      context.Context // ends with Run
 	end      context.CancelFunc
@@ -50,7 +52,8 @@
 }
 
 // New opens the sockets of an edge node.
-func New(h *config.History) (*Node, error) {
+// It goes on from what was kept; nil: no snapshots are kept.
+func New(h *config.History, kept *Kept) (*Node, error) {
 	cfg := h.Current().File
 	g, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
@@ -59,18 +62,24 @@
 	clk := clock{time.Now()}
 	up := &upstream{clock: clk, rest: restFor, fields: cfg.Settings.ReportNames, servers: map[policy.ServerID]*appServer{}}
 	up.limit(cfg)
-	n := &Node{cfg: cfg, history: h, up: up, loop: newLoop(clk, g, up)}
+	n := &Node{cfg: cfg, history: h, kept: kept, up: up, loop: newLoop(clk, g, up)}
 	n.ctx, n.end = context.WithCancel(context.Background())
 	n.server = newServer(clk, h.Current(), up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
 	n.publish()
 	n.loop.gen, n.loop.onApply, n.loop.reread = h.Current(), n.onApply, n.server.read
 	n.loop.mustAsk = cfg.Settings.MustAsk
+	held := false // a remembered list
 	n.loop.onList = func(kind policy.MembersKind) {
 		switch kind {
 		case policy.Whole:
 			n.server.ready.Store(true)
 		case policy.Remembered: // has to do while discovery is silent
+			held = true
 			time.AfterFunc(knownWait, func() { n.server.ready.Store(true) })
+		case policy.AskFailed: // and where it has refused, at once
+			if held {
+				n.server.ready.Store(true)
+			}
 		}
 	}
 	if cfg.Settings.CanTell {
@@ -93,6 +102,10 @@
 	n.disc = newDiscovery(cfg.Discovery, func(l *serverList, kind policy.MembersKind) {
 		n.loop.events <- members{l, kind}
 	})
+	if kept != nil {
+		n.keep = newKeeper(kept.Store, n.status.Load)
+		n.loop.keep = n.keep
+	}
 	return n, nil
 }
 
@@ -114,8 +127,9 @@
 	for _, w := range n.cfg.Warnings {
 		slog.Warn("configuration", "passed over", w)
 	}
-	if k := n.cfg.Known; k != nil && len(k.Targets) > 0 {
-		n.loop.events <- members{k, policy.Remembered}
+	fresh := n.restore(n.kept)
+	if n.server.ready.Store(fresh); n.keep != nil {
+		go n.keepOn(ctx)
 	}
 	go n.loop.run(ctx.Done())
 	go n.disc.run(ctx)
@@ -132,13 +146,16 @@
 		return fmt.Errorf("serve: %w", err)
 	case <-stop.Done():
 	}
-	n.drain()
+	if n.drain() && n.keep != nil {
+		n.keepLast()
+	}
 	return nil
 }
 
 // drain goes on accepting for a while, then answers what is open. It returns
-// once nothing is open and nothing has come for a moment.
-func (n *Node) drain() {
+// once nothing is open and nothing has come for a moment; it is false when that
+// never was.
+func (n *Node) drain() bool {
 	began := time.Now()
 	n.server.draining.Store(true)
 	accepting := true
@@ -154,9 +171,10 @@
 			accepting = false
 		}
 		if !accepting && open == 0 && quiet >= stopQuiet {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 func (n *Node) sweep(ctx context.Context) {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"yardcleat.example/yardcleat/internal/config"
+	"yardcleat.example/yardcleat/internal/snapshot"
 )
 
 var errEnded = errors.New("the edge node has ended")
@@ -24,19 +25,26 @@
 	Draining bool
 	Current  *config.Generation
 	Before   *config.Generation // nil: there is none to return to
+	Left     string             // digest of the file that was rolled back from; empty: none
 	Refused  *config.Refusal    // the last file, if it was refused
+	Keeping  *snapshot.Counts   // how snapshots are written; nil: none are kept
 }
 
 // Status may be called at any time; it waits for nothing.
 func (n *Node) Status() Status {
 	s := *n.status.Load()
 	s.Ready, s.Draining = n.server.ready.Load(), n.server.draining.Load()
+	if n.keep != nil {
+		counts := n.keep.writer.Counts()
+		s.Keeping = &counts
+	}
 	return s
 }
 
 // publish shows the history to operators. The caller holds n.changing.
 func (n *Node) publish() {
-	n.status.Store(&Status{Name: n.cfg.Name, Current: n.history.Current(), Before: n.history.Before(), Refused: n.history.Refused()})
+	n.status.Store(&Status{Name: n.cfg.Name, Current: n.history.Current(), Before: n.history.Before(), Left: n.history.Left(),
+		Refused: n.history.Refused()})
 }
 
 // reload takes over the configuration file whenever hup says that it is new.
--- a/internal/snapshot/codec.go
+++ b/internal/snapshot/codec.go
@@ -22,6 +22,7 @@
 	"math"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/internal/roster"
 	"yardcleat.example/yardcleat/policy"
 )
@@ -41,12 +42,7 @@
 }
 
 // Generation is a configuration file that was in force.
-type Generation struct {
-	Number uint64
-	Digest string
-	Time   time.Time
-	Raw    []byte
-}
+type Generation = config.Kept
 
 // What is wrong with a file.
 var (
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -28,8 +28,8 @@
 		Taken: Moment{Wall: time.Unix(1e9, 5), Boot: "b-1", Up: 77 * time.Second},
 		List: &roster.List{Rev: 41, All: true, Targets: []roster.Target{
 			{UID: "s-00000001", Endpoint: "127.0.0.1:80", State: "SERVING", Weight: 1, BootMS: 5}}},
-		Current: Generation{3, "d3", time.Unix(7, 0), []byte(`{"name":"n3"}`)},
-		Before:  Generation{2, "d2", time.Unix(6, 0), []byte(`{}`)},
+		Current: Generation{Number: 3, Digest: "d3", Time: time.Unix(7, 0), Raw: []byte(`{"name":"n3"}`)},
+		Before:  Generation{Number: 2, Digest: "d2", Time: time.Unix(6, 0), Raw: []byte(`{}`)},
 		Left:    "d4",
 		Memory: policy.Memory{
 			Servers: []policy.ServerMemory{
@@ -54,7 +54,7 @@
 }
 
 func TestRoundTrip(t *testing.T) {
-	empty := &State{Name: "x", Taken: Moment{Wall: time.Unix(0, 0)}, Current: Generation{1, "d", time.Unix(1, 0), []byte{1}}}
+	empty := &State{Name: "x", Taken: Moment{Wall: time.Unix(0, 0)}, Current: Generation{Number: 1, Digest: "d", Time: time.Unix(1, 0), Raw: []byte{1}}}
 	for _, s := range []*State{sample(), empty} {
 		got, err := Decode(encoded(t, s), s.Name)
 		if err != nil || !reflect.DeepEqual(got, s) {
--- a/internal/snapshot/writer.go
+++ b/internal/snapshot/writer.go
@@ -22,6 +22,7 @@
 	store *Store
 	box   chan *State // room for one
 	done  chan struct{}
+	first chan struct{} // closed when the first write has ended
 
 	mu     sync.Mutex
 	counts Counts
@@ -29,7 +30,7 @@
 
 // NewWriter starts a writer; Close ends it.
 func NewWriter(s *Store) *Writer {
-	w := &Writer{store: s, box: make(chan *State, 1), done: make(chan struct{})}
+	w := &Writer{store: s, box: make(chan *State, 1), done: make(chan struct{}), first: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -47,6 +48,17 @@
 	w.box <- s
 }
 
+// First waits for the end of the first write, until ctx ends, and tells whether
+// that state is what a start finds from now on.
+func (w *Writer) First(ctx context.Context) bool {
+	select {
+	case <-w.first:
+		return w.Counts().Written > 0
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Counts tells how the writing goes.
 func (w *Writer) Counts() Counts {
 	w.mu.Lock()
@@ -68,6 +80,7 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
+	var first sync.Once
 	for s := range w.box {
 		n, err := w.store.Write(s)
 		w.mu.Lock()
@@ -82,6 +95,7 @@
 		}
 		failed := w.counts.Failed
 		w.mu.Unlock()
+		first.Do(func() { close(w.first) })
 		switch {
 		case err != nil && was == "":
 			slog.Error("snapshot not written; the one before stays", "err", err, "failed", failed)
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -79,7 +79,7 @@
 	part := 1 - math.Exp(-g.keptFor.Seconds()/slowSpan.Seconds())
 	for _, k := range ev.Servers {
 		s := g.servers[k.ID]
-		if s == nil || s.HasStart != k.HasStart || s.Start != k.Start || g.keptFor > forgetAfter*keptSpans {
+		if s == nil || s.HasStart != k.HasStart || s.Start != k.Start {
 			continue
 		}
 		s.slow, s.pace = within(k.Slow), within(k.Pace)
@@ -117,6 +117,3 @@
 	}
 	g.kept = nil
 }
-
-// keptSpans is for how many spans of forgetting a judgement on a server is kept.
-const keptSpans = 3
