Show the real program through reloads, refusals, a roll back, a kill and stops

A test builds the program and serves load from four clients on loopback: ten good files, a refused one, a good one and the way back from it, SIGKILL while discovery refuses, then two planned stops. Each request is answered but those whose connections died with the process, none is sent on twice (perpanjang among them), the generation in force before the kill is in force after it, and the next start knows a planned stop. It found that a plan's negative rate was told as two faults.

--- /dev/null
+++ b/cmd/pepperfall/service_test.go
@@ -0,0 +1,419 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second // how long the test waits for a condition
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// service is the real program with what stands round it: discovery, lending
+// servers, clients and an operator.
+type service struct {
+	t       *testing.T
+	program string
+	config  string
+	state   string
+	listen  string
+	admin   string
+	disc    *httptest.Server
+	down    atomic.Bool // discovery refuses
+	servers []string
+	id      atomic.Int64 // of the requests
+	ran     sync.Map     // how often a lending server was sent each request
+
+	cmd *exec.Cmd
+	log *syncBuffer
+}
+
+// syncBuffer may be read while the program writes to it.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// freeAddr is an address that nothing listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func newService(t *testing.T) *service {
+	t.Helper()
+	s := &service{t: t, config: filepath.Join(t.TempDir(), "config.json"), state: filepath.Join(t.TempDir(), "state"),
+		listen: freeAddr(t), admin: freeAddr(t)}
+	s.program = filepath.Join(t.TempDir(), "pepperfall")
+	if out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", s.program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for range 2 {
+		ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			id := r.Header.Get("X-Request-Id")
+			n, _ := s.ran.LoadOrStore(id, new(atomic.Int32))
+			n.(*atomic.Int32).Add(1)
+			fmt.Fprint(w, id)
+		}))
+		t.Cleanup(ts.Close)
+		s.servers = append(s.servers, ts.Listener.Addr().String())
+	}
+	s.disc = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.down.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.URL.Query().Get("since") != "" {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(50 * time.Millisecond):
+			}
+			fmt.Fprint(w, `{"rev":7,"all":false,"targets":[]}`)
+			return
+		}
+		var list []string
+		for i, a := range s.servers {
+			list = append(list, fmt.Sprintf(`{"uid":"s-0000000%d","endpoint":%q,"az":"a","state":"SERVING","capacity_hint":1,"boot_ms":0}`, i+1, a))
+		}
+		fmt.Fprintf(w, `{"rev":7,"all":true,"targets":[%s]}`, strings.Join(list, ","))
+	}))
+	t.Cleanup(s.disc.Close)
+	return s
+}
+
+// write puts a configuration in place by rename. Its list of plans is what the
+// test changes.
+func (s *service) write(plans string) {
+	s.t.Helper()
+	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964","admin":%q,"state_dir":%q,
+		"limits":{"cores":1,"memory_mb":192,"sockets":512},
+		"settings":{"me":0,"balancers":1,"zone":"a","tick_ms":1,"discovery":"push",
+		"caps":{"max_attempts":6,"cancel":true,"retry_after":true,"max_retry_after_ms":1000,"dial_timeout_ms":250,"conn_idle_ms":15000},
+		"family_info":{"largest":6},"rules":{"drain_grace_ms":2000},
+		"classes":[{"name":"katalog","aim_ms":300,"hard_limit_ms":10000,"semantics":"repeatable","group":"all"},
+		{"name":"perpanjang","aim_ms":1500,"hard_limit_ms":10000,"semantics":"once"}],
+		"plans":[%s]}}`, s.listen, s.disc.Listener.Addr(), s.admin, s.state, plans)
+	if err := os.WriteFile(s.config+".new", []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	if err := os.Rename(s.config+".new", s.config); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// start runs the program until it is ready.
+func (s *service) start() {
+	s.t.Helper()
+	s.log = &syncBuffer{}
+	s.cmd = exec.Command(s.program)
+	s.cmd.Env = []string{"GW_CONFIG=" + s.config, "PATH=" + os.Getenv("PATH")}
+	s.cmd.Stdout, s.cmd.Stderr = s.log, s.log
+	if err := s.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	cmd := s.cmd
+	s.t.Cleanup(func() { _ = cmd.Process.Kill() })
+	eventually(s.t, "ready", func() bool {
+		resp, err := http.Get("http://" + s.listen + "/healthz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+}
+
+func (s *service) signal(sig syscall.Signal) {
+	s.t.Helper()
+	if err := s.cmd.Process.Signal(sig); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// operate calls the operators' address.
+func (s *service) operate(method, path string) (int, adminStatus) {
+	s.t.Helper()
+	r, err := http.NewRequest(method, "http://"+s.admin+path, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Close = true
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var st adminStatus
+	if err := json.NewDecoder(resp.Body).Decode(&st); err != nil {
+		s.t.Fatal(err)
+	}
+	return resp.StatusCode, st
+}
+
+type adminStatus struct {
+	Generation, Before *struct{ Number int }
+	Refused            *struct{ Faults []struct{ Field string } }
+	Snapshots          *struct{ Written, Failed int }
+}
+
+func (s *service) generation() int {
+	_, st := s.operate("GET", "/status")
+	return st.Generation.Number
+}
+
+// clients ask for what they can until stop is called. As the front does, each
+// sends one request at a time on a connection it keeps, and sends a request again
+// that crossed the closing of its connection by the edge node.
+type clients struct {
+	s    *service
+	done chan struct{}
+	wg   sync.WaitGroup
+
+	served atomic.Int64
+	died   atomic.Int64 // connections that ended with a request open: the process was killed
+	killed atomic.Bool  // it may have been
+	errs   chan string
+}
+
+func (s *service) load(n int) *clients {
+	c := &clients{s: s, done: make(chan struct{}), errs: make(chan string, 100)}
+	for i := range n {
+		c.wg.Add(1)
+		go c.run(i)
+	}
+	return c
+}
+
+func (c *clients) run(i int) {
+	defer c.wg.Done()
+	var conn net.Conn
+	var br *bufio.Reader
+	defer func() {
+		if conn != nil {
+			conn.Close()
+		}
+	}()
+	for {
+		select {
+		case <-c.done:
+			return
+		default:
+		}
+		id := fmt.Sprintf("%x", c.s.id.Add(1))
+		class, method, length := "katalog", "GET", ""
+		if i%2 == 1 {
+			class, method, length = "perpanjang", "POST", "Content-Length: 0\r\n"
+		}
+		text := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: app\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tier: dasar\r\n"+
+			"Cookie: key=%016x\r\nX-Deadline-Ms: 10000\r\n%sX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", method, class, id, class, i, length)
+		for try := 0; ; try++ {
+			fresh := conn == nil
+			if fresh {
+				var err error
+				if conn, err = net.Dial("tcp", c.s.listen); err != nil {
+					conn = nil
+					time.Sleep(5 * time.Millisecond) // it is being restarted
+					break
+				}
+				br = bufio.NewReader(conn)
+			}
+			_, err := io.WriteString(conn, text)
+			var resp *http.Response
+			if err == nil {
+				resp, err = http.ReadResponse(br, nil)
+			}
+			if err != nil {
+				conn.Close()
+				conn = nil
+				if !fresh && try == 0 && !c.killed.Load() {
+					continue // it crossed the closing of an idle connection
+				}
+				c.died.Add(1)
+				if !c.killed.Load() {
+					c.errs <- fmt.Sprintf("%s: %v", id, err)
+				}
+				break
+			}
+			body, err := io.ReadAll(resp.Body)
+			if err != nil || resp.StatusCode != 200 || string(body) != id {
+				c.errs <- fmt.Sprintf("%s: %d %q %v", id, resp.StatusCode, body, err)
+			} else {
+				c.served.Add(1)
+			}
+			if resp.Close {
+				conn.Close()
+				conn = nil
+			}
+			break
+		}
+	}
+}
+
+func (c *clients) stop() {
+	c.s.t.Helper()
+	close(c.done)
+	c.wg.Wait()
+	close(c.errs)
+	for e := range c.errs {
+		c.s.t.Error(e)
+	}
+}
+
+// more waits until so many further requests have been served.
+func (c *clients) more(n int64) {
+	c.s.t.Helper()
+	from := c.served.Load()
+	eventually(c.s.t, "further requests served", func() bool { return c.served.Load() >= from+n })
+}
+
+// The real program serves through reloads, refusals, a roll back, a kill and
+// planned stops: each request is answered, none is sent on twice, and what was in
+// force and known comes back.
+func TestService(t *testing.T) {
+	const dasar, madya, tiga = `{"name":"dasar"}`, `{"name":"dasar"},{"name":"madya"}`, `{"name":"tiga"},{"name":"dasar"}`
+	s := newService(t)
+	s.write(dasar)
+	s.start()
+	c := s.load(4)
+	c.more(50)
+
+	for n := 2; n <= 11; n++ { // good files, one after another
+		s.write([]string{dasar, madya}[n%2] + fmt.Sprintf(`,{"name":"p%d"}`, n))
+		s.signal(syscall.SIGHUP)
+		eventually(t, "the new generation", func() bool { return s.generation() == n })
+		c.more(10)
+	}
+	s.write(`{"name":"dasar","rate":-1}`)
+	s.signal(syscall.SIGHUP)
+	eventually(t, "the refusal", func() bool {
+		_, st := s.operate("GET", "/status")
+		return st.Refused != nil && len(st.Refused.Faults) == 1 && st.Refused.Faults[0].Field == "settings.plans.0.rate"
+	})
+	if n := s.generation(); n != 11 {
+		t.Errorf("generation %d after a refusal", n)
+	}
+	s.write(tiga)
+	s.signal(syscall.SIGHUP)
+	eventually(t, "the good file behind it", func() bool { return s.generation() == 12 })
+	if code, st := s.operate("POST", "/rollback"); code != 200 || st.Generation.Number != 13 {
+		t.Errorf("%d, generation %d after a roll back", code, st.Generation.Number)
+	}
+	if code, _ := s.operate("POST", "/rollback"); code != 409 {
+		t.Errorf("%d for a second roll back", code)
+	}
+	c.more(50)
+	eventually(t, "what is in force on disk", func() bool {
+		_, st := s.operate("GET", "/status")
+		return st.Snapshots.Written > 2 && st.Snapshots.Failed == 0 && strings.Contains(string(s.newest()), `{"name":"p11"}`)
+	})
+
+	// A kill under load, and discovery refuses when it starts again.
+	s.down.Store(true)
+	c.killed.Store(true)
+	s.signal(syscall.SIGKILL)
+	_ = s.cmd.Wait()
+	s.start()
+	c.killed.Store(false)
+	c.more(50)
+	if n := s.generation(); n != 13 {
+		t.Errorf("generation %d after the kill, 13 was in force", n)
+	}
+	for _, want := range []string{"the file was rolled back from", "snapshot found", "discovery does not answer"} {
+		if !strings.Contains(s.log.String(), want) {
+			t.Errorf("no %q in the log:\n%s", want, s.log)
+		}
+	}
+	s.down.Store(false)
+	if code, st := s.operate("POST", "/apply"); code != 200 || st.Generation.Number != 14 {
+		t.Errorf("%d, generation %d applied by hand", code, st.Generation.Number)
+	}
+	c.more(50)
+	c.stop()
+
+	// Planned stops lose nothing, and the next start knows that it was one.
+	for range 2 {
+		c = s.load(4)
+		c.more(50)
+		s.signal(syscall.SIGTERM)
+		eventually(t, "the front told to go elsewhere", func() bool {
+			resp, err := http.Get("http://" + s.listen + "/healthz")
+			if err != nil {
+				return false
+			}
+			resp.Body.Close()
+			return resp.StatusCode == 503
+		})
+		c.stop()
+		ended := make(chan error, 1)
+		cmd := s.cmd
+		go func() { ended <- cmd.Wait() }()
+		select {
+		case err := <-ended:
+			if err != nil {
+				t.Errorf("%v\n%s", err, s.log)
+			}
+		case <-time.After(patience):
+			t.Fatalf("did not end\n%s", s.log)
+		}
+		s.start()
+		if !strings.Contains(s.log.String(), `"planned stop"=true`) {
+			t.Errorf("%s", s.log)
+		}
+	}
+	s.ran.Range(func(id, n any) bool {
+		if got := n.(*atomic.Int32).Load(); got != 1 {
+			t.Errorf("%v was sent on %d times", id, got)
+		}
+		return true
+	})
+}
+
+// newest is what both snapshots hold, as bytes.
+func (s *service) newest() (all []byte) {
+	for _, name := range []string{"snapshot-0", "snapshot-1"} {
+		b, err := os.ReadFile(filepath.Join(s.state, name))
+		if err == nil {
+			all = append(all, b...)
+		}
+	}
+	return all
+}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -349,7 +349,7 @@
 			{"beyond_earns", q.BeyondEarns}, {"beyond_costs", q.BeyondCosts}} {
 			p.need(f.v >= 0, at+f.key, "negative")
 		}
-		p.need(q.Rate == 0 || q.Burst > 0, at+"store_size", "not above 0, but the plan has a rate")
+		p.need(q.Rate <= 0 || q.Burst > 0, at+"store_size", "not above 0, but the plan has a rate")
 	}
 }
 
