--- a/cmd/pepperfall/service_test.go
+++ b/cmd/pepperfall/service_test.go
@@ -210,7 +210,8 @@
 
 	served atomic.Int64
 	died   atomic.Int64 // connections that ended with a request open: the process was killed
-	killed atomic.Bool  // it may have been
+	kills  atomic.Int64 // that were about to come
+	dying  atomic.Bool  // between a kill and the process's end
 	errs   chan string
 }
 
@@ -245,6 +246,8 @@
 		}
 		text := fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: app\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tier: dasar\r\n"+
 			"Cookie: key=%016x\r\nX-Deadline-Ms: 10000\r\n%sX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", method, class, id, class, i, length)
+		kills, dying := c.kills.Load(), c.dying.Load()
+		kill := func() bool { return dying || c.kills.Load() != kills } // the request may have met one
 		for try := 0; ; try++ {
 			fresh := conn == nil
 			if fresh {
@@ -264,11 +267,11 @@
 			if err != nil {
 				conn.Close()
 				conn = nil
-				if !fresh && try == 0 && !c.killed.Load() {
+				if !fresh && try == 0 && !kill() {
 					continue // it crossed the closing of an idle connection
 				}
 				c.died.Add(1)
-				if !c.killed.Load() {
+				if !kill() {
 					c.errs <- fmt.Sprintf("%s: %v", id, err)
 				}
 				break
@@ -288,6 +291,17 @@
 	}
 }
 
+// kill ends the process as a crash does, and starts it again.
+func (c *clients) kill() {
+	c.s.t.Helper()
+	c.kills.Add(1)
+	c.dying.Store(true)
+	c.s.signal(syscall.SIGKILL)
+	_ = c.s.cmd.Wait()
+	c.dying.Store(false)
+	c.s.start()
+}
+
 func (c *clients) stop() {
 	c.s.t.Helper()
 	close(c.done)
@@ -348,11 +362,7 @@
 
 	// A kill under load, and discovery refuses when it starts again.
 	s.down.Store(true)
-	c.killed.Store(true)
-	s.signal(syscall.SIGKILL)
-	_ = s.cmd.Wait()
-	s.start()
-	c.killed.Store(false)
+	c.kill()
 	c.more(50)
 	if n := s.generation(); n != 13 {
 		t.Errorf("generation %d after the kill, 13 was in force", n)
@@ -417,3 +427,32 @@
 	}
 	return all
 }
+
+// Killed again and again under load, at any step of a write: each start finds a
+// whole snapshot and serves, and nothing is sent on twice.
+func TestKillLoop(t *testing.T) {
+	s := newService(t)
+	s.write(`{"name":"dasar"}`)
+	s.start()
+	eventually(t, "the list on disk", func() bool { return strings.Contains(string(s.newest()), s.servers[1]) })
+	s.down.Store(true) // from now on it is there alone
+	c := s.load(4)
+	for i := range 12 {
+		if i%3 == 0 {
+			c.more(20)
+		}
+		time.Sleep(time.Duration(i*i) * time.Millisecond) // not waited for: the kill is to come anywhere
+		c.kill()
+		if log := s.log.String(); !strings.Contains(log, "snapshot found") || strings.Contains(log, "passed over") {
+			t.Fatalf("start %d:\n%s", i, log)
+		}
+	}
+	c.more(20)
+	c.stop()
+	s.ran.Range(func(id, n any) bool {
+		if got := n.(*atomic.Int32).Load(); got != 1 {
+			t.Errorf("%v was sent on %d times", id, got)
+		}
+		return true
+	})
+}
--- a/policy/tables_test.go
+++ b/policy/tables_test.go
@@ -342,3 +342,42 @@
 		}
 	})
 }
+
+// An older program's ask bears no mark and is counted as ever, and what it asks
+// by stays understood by it: an ask is no longer than it was. With a second table
+// about, its numbers count only where both agree.
+func TestOlderProgramAsks(t *testing.T) {
+	s := base()
+	s.Gateways = 100
+	w := newWorld(t, s, fleet(4))
+	asks := func(plan byte, tag uint32) []Tell {
+		if _, marked := tagMark(tag); marked {
+			t.Fatalf("tag %d passes for marked", tag)
+		}
+		return of[Tell](w.do(PeerMessage{From: 9, Data: encode(ask{Customer: uint64(tag) << 40, Spread: 50, Plan: plan, Units: 1,
+			Left: 2000, Tag: tag, Thin: 250, Fill: unknownStore})}))
+	}
+	granted := func(acts []Tell) bool {
+		if len(acts) != 1 || acts[0].To != 9 {
+			return false
+		}
+		_, ok := decode(acts[0].Data).(answer)
+		return ok
+	}
+	if !granted(asks(1, 5)) {
+		t.Error("not answered")
+	}
+	s.Plans = append(slices.Clone(s.Plans[:2]), Plan{Name: "between", Rate: 1, Burst: 9}, s.Plans[2])
+	w.do(Reconfigure{s})
+	if !granted(asks(1, 6)) {
+		t.Error("not answered where both tables agree")
+	}
+	for _, plan := range []byte{2, 3, 4} {
+		if acts := asks(plan, 7); len(acts) != 0 {
+			t.Errorf("plan %d of an unknown table: %v", plan, acts)
+		}
+	}
+	if n := len(encode(ask{})); n != 27 {
+		t.Errorf("an ask of %d bytes", n)
+	}
+}
