Let a root move a customer to the plan that is asked by now

A root hears of a customer's plan by asks alone. One whose plan had vanished in a reload kept that plan's figures there until it was idle for ten seconds, since only a request at the edge node itself moved it (replan in customer(), not in onAsk).

--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -136,19 +136,8 @@
 	}
 }
 
-// keepOn has the loop look now and then whether there is something to keep.
-func (n *Node) keepOn(ctx context.Context) {
-	t := time.NewTicker(keepLook)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			n.loop.events <- capture{}
-		}
-	}
-}
+// look has the loop see whether there is something to keep.
+func (n *Node) look() { n.loop.events <- capture{} }
 
 // keepLast keeps the state of an edge node that has answered all it took.
 func (n *Node) keepLast() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,12 +129,12 @@
 	}
 	fresh := n.restore(n.kept)
 	if n.server.ready.Store(fresh); n.keep != nil {
-		go n.keepOn(ctx)
+		go every(ctx, keepLook, n.look)
 	}
 	go n.loop.run(ctx.Done())
 	go n.disc.run(ctx)
 	go n.reload(ctx, hup)
-	go n.sweep(ctx)
+	go every(ctx, sweepEvery, n.up.sweep)
 	if n.peers != nil {
 		go n.peers.send(ctx.Done())
 		go n.peers.receive()
@@ -177,15 +177,16 @@
 	return false
 }
 
-func (n *Node) sweep(ctx context.Context) {
-	t := time.NewTicker(sweepEvery)
+// every does something now and then until ctx ends.
+func every(ctx context.Context, d time.Duration, do func()) {
+	t := time.NewTicker(d)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			n.up.sweep()
+			do()
 		}
 	}
 }
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -139,7 +139,10 @@
 		cl = g.lapsedClasses[t.classes[m.Class]]
 	}
 	if plan == nil {
-		cl = nil
+		return nil, nil
+	}
+	if c := g.customers[m.Customer]; c != nil && g.mixed {
+		g.replan(c, plan)
 	}
 	return plan, cl
 }
--- a/policy/tables_test.go
+++ b/policy/tables_test.go
@@ -381,3 +381,25 @@
 		t.Errorf("an ask of %d bytes", n)
 	}
 }
+
+// A root hears of its customers' plans by asks alone: one whose plan is gone comes
+// under the plan that is asked by now, with what is left in its store.
+func TestRootReplans(t *testing.T) {
+	s := base()
+	s.Gateways = 100
+	w := newWorld(t, s, fleet(4))
+	asks := func(plan byte, units uint16) *customer {
+		w.do(PeerMessage{From: 9, Data: encode(ask{Customer: 7, Spread: 50, Plan: plan, Units: units, Left: 2000,
+			Tag: w.g.newTag(w.g.tables[0]), Thin: 250, Fill: unknownStore})})
+		return w.g.customers[7]
+	}
+	if c := asks(1, 4); c == nil || c.plan.Name != "rate" {
+		t.Fatalf("%+v", c)
+	}
+	store := w.g.customers[7].store
+	s.Plans = []Plan{s.Plans[0], {Name: "other", Rate: 20, Burst: 30}, s.Plans[2]}
+	w.do(Reconfigure{s})
+	if c := asks(1, 1); c.plan.Name != "other" || c.store > store {
+		t.Errorf("plan %s, a store of %v that held %v", c.plan.Name, c.store, store)
+	}
+}
