Close a draining server's idle connections at once

They stayed until they were idle for long, though a draining server wants nothing new and holds only so many connections (become kept them, keep put further ones back). Tests also pin down that a server back before it was gone is as warm as it was, and that one with a new start under its old id is cold.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -157,6 +157,7 @@
 func (u *upstream) become(s *appServer, state policy.State, now time.Duration) {
 	if s.state == policy.Running && state != policy.Running {
 		s.since = now
+		u.dropIdle(s) // it wants nothing new: its connections are scarce
 	}
 	s.state = state
 }
@@ -241,7 +242,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
-	if s == nil || s.addr != c.RemoteAddr().String() || u.open > u.most {
+	if s == nil || s.state != policy.Running || s.addr != c.RemoteAddr().String() || u.open > u.most {
 		c.Close()
 		u.open--
 		return
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -410,3 +410,43 @@
 		}
 	}
 }
+
+// A server that drains keeps no idle connection: they are scarce there. One that
+// is out closes with its end, and one that comes back is connected to anew.
+func TestIdleConnectionsCloseAtADrain(t *testing.T) {
+	hold := make(chan struct{})
+	a := newApp(t, func(c net.Conn, r *http.Request, _ string) bool {
+		<-hold
+		return answer("200 OK", "", "hits")(c, r, "")
+	})
+	u := pool(a.addr())
+	state := func(s string) {
+		tg := serving("s-00000001", a.addr())
+		tg.State = s
+		u.update(&serverList{Targets: []target{tg}}, false)
+	}
+	_, first := u.try(patience)
+	done := make(chan result)
+	go func() {
+		r, _ := first()
+		done <- r
+	}()
+	eventually(t, "the first out", func() bool { return a.seen.Load() == 1 })
+	state("DRAINING")
+	close(hold)
+	if r := <-done; r.code != policy.OK {
+		t.Errorf("%v for the attempt that was out", r.code)
+	}
+	eventually(t, "its connection closed", func() bool { return a.ended.Load() == 1 })
+	state("SERVING")
+	if _, again := u.try(patience); true {
+		if r, _ := again(); r.code != policy.OK || a.conns.Load() != 2 {
+			t.Errorf("%v on connection %d", r.code, a.conns.Load())
+		}
+	}
+	state("DRAINING")
+	eventually(t, "the idle connection closed", func() bool { return a.ended.Load() == 2 })
+	if u.open != 0 {
+		t.Errorf("%d open", u.open)
+	}
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -892,3 +892,29 @@
 		t.Fatalf("%d sent to the cold server", cold)
 	}
 }
+
+// A server that drains gets nothing new at once; back before it was gone it is as
+// warm as it was, and under the same id with a new start it is cold.
+func TestServerThatComesBack(t *testing.T) {
+	s := base()
+	s.Gateways = 1
+	w := newWorld(t, s, fleet(1))
+	w.now += time.Minute
+	one := func(state State, start time.Duration) []Server {
+		return []Server{{ID: 1, Zone: "a", Weight: 1, State: state, HasStart: start > 0, Start: start}}
+	}
+	w.do(Members{Kind: Changes, Servers: one(Draining, 0)})
+	if _, acts := w.ask("safe", "free", "c", 1); len(of[Send](acts)) != 0 {
+		t.Errorf("%v to a server that drains", acts)
+	}
+	w.pass(time.Second)
+	w.do(Members{Kind: Changes, Servers: one(Running, 0)})
+	if _, acts := w.ask("safe", "free", "c", 1); len(of[Send](acts)) != 1 || w.g.coldness(w.g.servers[1]) != 1 {
+		t.Errorf("%v, capacity %v once it is back", acts, w.g.coldness(w.g.servers[1]))
+	}
+	w.do(Members{Kind: Changes, Servers: one(Draining, 0)})
+	w.do(Members{Kind: Changes, Servers: one(Running, w.now)})
+	if cold := w.g.coldness(w.g.servers[1]); cold != s.ColdShare {
+		t.Errorf("capacity %v for a new process under an old id", cold)
+	}
+}
