Make a planned stop a state machine that can be hastened and called off

The steps of a planned stop were a loop of waits (drain) that a second SIGTERM did not reach and nobody could call off; one that ran out of time passed for a clean one. They are now a pure machine, tested by a table: serving, leaving, finishing, stopped. A second signal skips the waits for the front and has what is held answered at once with Retry-After; POST /stay goes back to serving, also once the door is shut.

--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -135,8 +135,8 @@
 		fmt.Fprintln(os.Stderr, "pepperfall:", err)
 		return exitConfig
 	}
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
+	term := make(chan os.Signal, 2) // the second hastens
+	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
 	if cfg.Admin.IsValid() {
 		ln, err := admin.Listen(cfg.Admin)
 		if err != nil {
@@ -152,7 +152,7 @@
 		}()
 	}
 	slog.Info("serving", "name", cfg.Name, "addr", n.Addr().String())
-	if err := n.Run(stop, hup); err != nil {
+	if err := n.Run(term, hup); err != nil {
 		slog.Error("stopped", "err", err)
 		return exitServe
 	}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,6 +5,7 @@
 //	POST /check     tells all faults of the file in the body, and changes nothing
 //	POST /apply     puts the configuration file in force as it is now
 //	POST /rollback  returns to the generation before; the file stays as it is
+//	POST /stay      calls a planned stop off
 //
 // It promises to answer none but programs on the same machine: it listens on a
 // loopback address only, and refuses what a browser was led to send. It holds at
@@ -44,6 +45,7 @@
 	Check(raw []byte) error
 	Apply(ctx context.Context) error
 	RollBack(ctx context.Context) error
+	Stay(ctx context.Context) error
 }
 
 // Listen opens the door's address.
@@ -95,7 +97,7 @@
 			switch {
 			case err == nil, errors.Is(err, config.ErrPassedOver):
 				reply(w, http.StatusOK, statusOf(o.Status()))
-			case errors.Is(err, config.ErrNoneBefore):
+			case errors.Is(err, config.ErrNoneBefore), what == "stay":
 				fail(w, http.StatusConflict, err)
 			default:
 				fail(w, http.StatusUnprocessableEntity, err)
@@ -104,6 +106,7 @@
 	}
 	mux.HandleFunc("POST /apply", change("apply", o.Apply))
 	mux.HandleFunc("POST /rollback", change("rollback", o.RollBack))
+	mux.HandleFunc("POST /stay", change("stay", o.Stay))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if err := local(r); err != nil {
 			fail(w, http.StatusForbidden, err)
@@ -136,7 +139,7 @@
 type status struct {
 	Name       string      `json:"name"`
 	Ready      bool        `json:"ready"`
-	Draining   bool        `json:"draining"`
+	Phase      string      `json:"phase"` // of a planned stop
 	Generation generation  `json:"generation"`
 	Before     *generation `json:"before"`
 	Refused    *refusal    `json:"refused"`
@@ -170,7 +173,7 @@
 }
 
 func statusOf(s node.Status) status {
-	out := status{Name: s.Name, Ready: s.Ready, Draining: s.Draining,
+	out := status{Name: s.Name, Ready: s.Ready, Phase: s.Phase,
 		Generation: generation{s.Current.Number, s.Current.Digest, s.Current.Time}}
 	if s.Before != nil {
 		out.Before = &generation{s.Before.Number, s.Before.Digest, s.Before.Time}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -31,6 +31,10 @@
 	o.did = append(o.did, "apply")
 	return o.err
 }
+func (o *operated) Stay(context.Context) error {
+	o.did = append(o.did, "stay")
+	return o.err
+}
 func (o *operated) RollBack(context.Context) error {
 	o.did = append(o.did, "rollback")
 	return o.err
@@ -38,7 +42,7 @@
 
 func newDoor(t *testing.T) (*operated, string) {
 	t.Helper()
-	o := &operated{status: node.Status{Name: "n3", Ready: true,
+	o := &operated{status: node.Status{Name: "n3", Ready: true, Phase: "serving",
 		Current: &config.Generation{Number: 4, Digest: "d4", Time: time.Unix(4, 0)},
 		Before:  &config.Generation{Number: 3, Digest: "d3", Time: time.Unix(3, 0)},
 		Refused: &config.Refusal{Digest: "d5", Time: time.Unix(5, 0), Err: config.Faults{{Field: "listen", What: "no port"}}}}}
@@ -108,6 +112,9 @@
 		{"POST", "/apply", config.ErrUnreadable, 422, "apply", "not readable"},
 		{"POST", "/rollback", nil, 200, "rollback", `"number": 4`},
 		{"POST", "/rollback", config.ErrNoneBefore, 409, "rollback", "no generation"},
+		{"POST", "/stay", nil, 200, "stay", `"phase": "serving"`},
+		{"POST", "/stay", io.ErrClosedPipe, 409, "stay", "closed"},
+		{"GET", "/stay", nil, 405, "", ""},
 		{"GET", "/apply", nil, 405, "", ""},
 		{"GET", "/rollback", nil, 405, "", ""},
 		{"GET", "/", nil, 404, "", ""},
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,7 +203,7 @@
 type running struct {
 	*Node
 	url  string
-	stop context.CancelFunc
+	term chan os.Signal
 	hup  chan os.Signal
 	done chan error
 }
@@ -219,12 +219,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	r := &running{Node: n, url: "http://" + n.Addr().String(), stop: stop, hup: make(chan os.Signal, 1),
+	r := &running{Node: n, url: "http://" + n.Addr().String(), term: make(chan os.Signal, 2), hup: make(chan os.Signal, 1),
 		done: make(chan error, 1)}
-	go func() { r.done <- n.Run(ctx, r.hup) }()
+	go func() { r.done <- n.Run(r.term, r.hup) }()
 	t.Cleanup(func() {
-		stop()
+		r.stop()
 		http.DefaultClient.CloseIdleConnections()
 	})
 	eventually(t, "healthz 200", func() bool {
@@ -238,6 +237,14 @@
 	return r
 }
 
+// stop begins a planned stop, or hastens it.
+func (r *running) stop() {
+	select {
+	case r.term <- syscall.SIGTERM:
+	default: // the second is waiting already
+	}
+}
+
 // nodeWith starts an edge node that knows the app servers at the addresses.
 func nodeWith(t *testing.T, addrs ...string) *running {
 	t.Helper()
--- /dev/null
+++ b/internal/node/leave_test.go
@@ -0,0 +1,213 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A planned stop, step by step.
+func TestDeparture(t *testing.T) {
+	const ms = time.Millisecond
+	type at struct {
+		now   time.Duration
+		sig   bool
+		open  int
+		quiet time.Duration
+		want  phase
+		steps steps
+	}
+	for name, list := range map[string][]at{
+		"quiet at once": {
+			{now: 0, sig: true, want: leaving},
+			{now: 10 * ms, open: 1, quiet: time.Second, want: leaving},
+			{now: 250 * ms, open: 1, quiet: time.Second, want: leaving, steps: steps{shutIdle: true}},
+			{now: 549 * ms, quiet: time.Second, want: leaving, steps: steps{shutIdle: true}},
+			{now: 550 * ms, quiet: time.Second, want: stopped, steps: steps{shutIdle: true, shutDoor: true, end: true}},
+		},
+		"a client goes on": {
+			{now: 0, sig: true, want: leaving},
+			{now: 5 * time.Second, open: 1, quiet: 99 * ms, want: leaving, steps: steps{shutIdle: true}},
+			{now: 6 * time.Second, open: 1, quiet: 100 * ms, want: finishing, steps: steps{shutIdle: true, shutDoor: true}},
+			{now: 7 * time.Second, open: 1, quiet: time.Second, want: finishing, steps: steps{shutIdle: true}},
+			{now: 8 * time.Second, open: 0, quiet: time.Second, want: stopped, steps: steps{shutIdle: true, end: true}},
+		},
+		"hastened": {
+			{now: 0, sig: true, want: leaving},
+			{now: 20 * ms, sig: true, want: leaving, steps: steps{giveUp: true}},
+			{now: 30 * ms, open: 1, quiet: 50 * ms, want: leaving, steps: steps{shutIdle: true}},
+			{now: 40 * ms, sig: true, want: leaving},
+			{now: 100 * ms, open: 1, quiet: 100 * ms, want: finishing, steps: steps{shutIdle: true, shutDoor: true}},
+			{now: 110 * ms, open: 0, quiet: 110 * ms, want: stopped, steps: steps{shutIdle: true, end: true}},
+		},
+		"never quiet": {
+			{now: 0, sig: true, want: leaving},
+			{now: stopMost, open: 2, quiet: 0, want: stopped, steps: steps{shutIdle: true, shutDoor: true, end: true}},
+		},
+		"never answered": {
+			{now: 0, sig: true, want: leaving},
+			{now: time.Second, open: 2, quiet: time.Second, want: finishing, steps: steps{shutIdle: true, shutDoor: true}},
+			{now: stopMost, open: 2, quiet: time.Second, want: stopped, steps: steps{shutIdle: true, end: true}},
+		},
+	} {
+		var d departure
+		for i, a := range list {
+			var got steps
+			if a.sig {
+				got = d.signal(a.now)
+			} else {
+				got = d.step(a.now, a.open, a.quiet)
+			}
+			if got != a.steps || d.phase != a.want {
+				t.Errorf("%s, step %d: %v %+v, want %v %+v", name, i, d.phase, got, a.want, a.steps)
+			}
+		}
+	}
+}
+
+func TestCallOff(t *testing.T) {
+	var d departure
+	if d.callOff() == nil {
+		t.Error("called off what had not begun")
+	}
+	d.signal(time.Second)
+	d.signal(time.Second)
+	if err := d.callOff(); err != nil || d != (departure{}) {
+		t.Errorf("%v, %+v", err, d)
+	}
+	d.signal(time.Minute) // begins anew, and hastens nothing
+	if d.phase != leaving || d.hastened || d.began != time.Minute {
+		t.Errorf("%+v", d)
+	}
+	if d.step(2*time.Minute+stopMost, 0, time.Hour); d.phase != stopped || d.callOff() == nil {
+		t.Errorf("%+v called off", d)
+	}
+}
+
+// held serves a request that its server answers once the test lets it.
+func held(t *testing.T) (a *app, let func()) {
+	t.Helper()
+	hold := make(chan struct{})
+	return newApp(t, func(c net.Conn, r *http.Request, _ string) bool {
+		<-hold
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		return true
+	}), func() { close(hold) }
+}
+
+// A planned stop that is called off, while the door is open and once it is shut,
+// leaves an edge node that serves as before, and answers what was open.
+func TestStopCalledOff(t *testing.T) {
+	a, let := held(t)
+	cfg := fileConfig(t, newRegistry(t, serving("s-00000001", a.addr())).addr, "", testSettings)
+	cfg.Current().File.Listen = refusing(t)
+	n := start(t, cfg)
+	if err := n.Stay(t.Context()); err == nil {
+		t.Error("called off what had not begun")
+	}
+	answered := make(chan string, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(request(n.url, "loan", patience)) // not called back when it takes long
+		if err != nil {
+			answered <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		answered <- string(body)
+	}()
+	eventually(t, "the request out", func() bool { return a.seen.Load() == 1 })
+	phaseIs := func(p phase) func() bool { return func() bool { return n.Status().Phase == p.String() } }
+	ready := func() int {
+		resp, err := http.Get(n.url + "/healthz")
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	for _, p := range []phase{leaving, finishing} {
+		n.stop()
+		eventually(t, p.String(), phaseIs(p))
+		if p == leaving && ready() != 503 {
+			t.Error("ready though it leaves")
+		}
+		if err := n.Stay(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := ready(); got != 200 || !phaseIs(phaseServing)() {
+			t.Errorf("healthz %d, %s after a stop called off while %v", got, n.Status().Phase, p)
+		}
+	}
+	let()
+	if got := <-answered; got != "ok" {
+		t.Error(got)
+	}
+	r := request(n.url, "lookup", patience)
+	r.Header.Set("X-Request-Id", "later")
+	if resp, body := ask(t, r); resp.StatusCode != 200 || body != "ok" {
+		t.Errorf("%d %q", resp.StatusCode, body)
+	}
+	n.stop()
+	if err := <-n.done; err != nil {
+		t.Error(err)
+	}
+	if err := n.Stay(t.Context()); !errors.Is(err, errEnded) {
+		t.Errorf("%v after the end", err)
+	}
+}
+
+// A second signal has what waits answered at once, so that it can be asked for
+// elsewhere, and what is out answered whole.
+func TestStopHastened(t *testing.T) {
+	a, let := held(t)
+	// What is held would be held for longer than the test waits.
+	settings := strings.NewReplacer(`{"name":"town"}`, `{"name":"town","parallel":1}`, `"aim_ms":1000,"hard_limit_ms":10000`,
+		`"aim_ms":100000,"hard_limit_ms":100000`).Replace(testSettings)
+	n := start(t, fileConfig(t, newRegistry(t, serving("s-00000001", a.addr())).addr, "", settings))
+	got := make(chan string, 2)
+	for i, id := range []string{"out", "held"} {
+		go func() {
+			r := request(n.url, "loan", 6*patience)
+			r.Header.Set("X-Request-Id", id)
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				got <- err.Error()
+				return
+			}
+			resp.Body.Close()
+			got <- fmt.Sprint(id, " ", resp.StatusCode, " ", resp.Header.Get("Retry-After") != "")
+		}()
+		eventually(t, id, func() bool {
+			open, _ := n.server.state()
+			return open >= i+1 && a.seen.Load() == 1
+		})
+	}
+	n.stop()
+	eventually(t, "the stop", func() bool { return n.Status().Phase == leaving.String() })
+	n.stop()
+	var s string
+	eventually(t, "what is held given up", func() bool {
+		select {
+		case s = <-got:
+			return true
+		default:
+			return false
+		}
+	})
+	if s != "held 429 true" {
+		t.Error(s)
+	}
+	let()
+	if s := <-got; s != "out 200 false" {
+		t.Error(s)
+	}
+	if err := <-n.done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -29,6 +29,7 @@
 	answerMargin = 10 * time.Millisecond
 	backstop     = 3 * time.Millisecond  // and then what the module left open is failed
 	lookEvery    = 50 * time.Millisecond // for clients that have gone away
+	soon         = time.Millisecond      // another edge node may have room at once
 
 	statusBadRequest, statusConflict = 400, 409
 )
@@ -80,6 +81,9 @@
 	done chan struct{}
 }
 
+// giveUp has what waits answered at once: it may be asked for elsewhere.
+type giveUp struct{}
+
 // loop owns the Gateway and the state of all open requests. Others hand it
 // events; it never waits for a socket.
 type loop struct {
@@ -171,6 +175,8 @@
 		l.apply(ev)
 	case policy.Restore:
 		l.decide(ev)
+	case giveUp:
+		l.giveUp()
 	case capture:
 		if st := l.keep.state(l, false); st != nil {
 			l.keep.writer.Offer(st)
@@ -188,6 +194,18 @@
 	close(ev.done)
 }
 
+// giveUp refuses the requests that have no attempt out. One that may have run is
+// not to be asked for again lightly: it fails.
+func (l *loop) giveUp() {
+	for id, c := range l.calls {
+		if c.out != nil {
+			continue
+		}
+		l.finish(c, command{refuse: c.ranAt == 0 || c.class.Effect == policy.Safe, retryAfter: soon})
+		l.decide(policy.Gone{ID: id})
+	}
+}
+
 func (l *loop) arrive(c *call) {
 	if c.gen != l.gen && l.reread(c) != nil {
 		c.cmd <- command{bad: statusBadRequest}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,17 +22,6 @@
 	knownWait              = time.Second // discovery is given so long before the known list has to do
 )
 
-// The steps of a planned stop. Clients go on coming for up to 0.4 s after the
-// signal.
-const (
-	stopShutIdle = 250 * time.Millisecond // idle connections are closed while new ones still find an open door
-	stopAccept   = 550 * time.Millisecond
-	stopQuiet    = 100 * time.Millisecond
-	stopReading  = 2 * time.Second // a request that has begun to come by then is given so long
-	stopMost     = 65 * time.Second
-	stopPoll     = 10 * time.Millisecond
-)
-
 // Node is an edge node whose sockets are open.
 type Node struct {
 	cfg      *config.File // as it was at the start
@@ -49,6 +38,8 @@
 	peers    *peers
 	disc     *discovery
 	listener net.Listener
+	phase    atomic.Int32
+	stay     chan chan error // planned stops called off
 }
 
 // New opens the sockets of an edge node.
@@ -62,7 +53,7 @@
 	clk := clock{time.Now()}
 	up := &upstream{clock: clk, rest: restFor, fields: cfg.Settings.ReportNames, servers: map[policy.ServerID]*appServer{}}
 	up.limit(cfg)
-	n := &Node{cfg: cfg, history: h, kept: kept, up: up, loop: newLoop(clk, g, up)}
+	n := &Node{cfg: cfg, history: h, kept: kept, stay: make(chan chan error), up: up, loop: newLoop(clk, g, up)}
 	n.ctx, n.end = context.WithCancel(context.Background())
 	n.server = newServer(clk, h.Current(), up, n.loop.events, int(clientPart*float64(cfg.Sockets)))
 	n.publish()
@@ -94,10 +85,9 @@
 		}
 		n.loop.tell = n.peers.tell
 	}
-	lc := net.ListenConfig{KeepAlive: -1} // time-outs of our own are shorter: four system calls saved at each accept
-	if n.listener, err = lc.Listen(context.Background(), "tcp", cfg.Listen); err != nil {
+	if err := n.listen(); err != nil {
 		n.closePeers()
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, err
 	}
 	n.disc = newDiscovery(cfg.Discovery, func(l *serverList, kind policy.MembersKind) {
 		n.loop.events <- members{l, kind}
@@ -118,9 +108,9 @@
 	}
 }
 
-// Run serves until stop ends, then answers what is open and returns. Signals on
-// hup tell that the configuration file is new.
-func (n *Node) Run(stop context.Context, hup <-chan os.Signal) error {
+// Run serves until a signal on term and everything open is answered; a second one
+// hastens that. Signals on hup tell that the configuration file is new.
+func (n *Node) Run(term, hup <-chan os.Signal) error {
 	ctx := n.ctx
 	defer n.end()
 	defer n.closePeers()
@@ -139,42 +129,107 @@
 		go n.peers.send(ctx.Done())
 		go n.peers.receive()
 	}
-	served := make(chan error, 1)
-	go func() { served <- n.server.serve(n.listener) }()
-	select {
-	case err := <-served:
-		return fmt.Errorf("serve: %w", err)
-	case <-stop.Done():
+	if err := n.serve(term); err != nil {
+		return err
 	}
-	if n.drain() && n.keep != nil {
+	if n.keep != nil {
 		n.keepLast()
 	}
 	return nil
 }
 
-// drain goes on accepting for a while, then answers what is open. It returns
-// once nothing is open and nothing has come for a moment; it is false when that
-// never was.
-func (n *Node) drain() bool {
-	began := time.Now()
-	n.server.draining.Store(true)
-	accepting := true
-	for time.Since(began) < stopMost {
-		time.Sleep(stopPoll)
-		past := time.Since(began)
-		if past >= stopShutIdle {
+// serve accepts clients until a planned stop has come to its end.
+func (n *Node) serve(term <-chan os.Signal) error {
+	served := make(chan error, 1)
+	accept := func() {
+		ln := n.listener
+		go func() { served <- n.server.serve(ln) }()
+	}
+	accept()
+	poll := time.NewTicker(stopPoll)
+	defer poll.Stop()
+	poll.Stop() // until there is a stop to look after
+	var d departure
+	var s steps
+	for !s.end {
+		s = steps{}
+		select {
+		case err := <-served:
+			if err != nil {
+				return fmt.Errorf("serve: %w", err)
+			}
+			continue // the door was shut
+		case <-term:
+			if s = d.signal(n.loop.clock.now()); s.giveUp {
+				slog.Info("planned stop hastened")
+			} else if d.phase == leaving {
+				slog.Info("planned stop begins")
+			}
+			poll.Reset(stopPoll)
+		case back := <-n.stay:
+			shut := d.phase == finishing
+			err := d.callOff()
+			if err == nil && shut {
+				if err = n.listen(); err != nil { // the address is another's by now
+					d.signal(n.loop.clock.now())
+				} else {
+					accept()
+				}
+			}
+			if err == nil {
+				poll.Stop()
+				slog.Info("planned stop called off")
+			}
+			n.enter(d.phase)
+			back <- err
+			continue
+		case <-poll.C:
+			open, quiet := n.server.state()
+			s = d.step(n.loop.clock.now(), open, quiet)
+		}
+		n.enter(d.phase)
+		if s.giveUp {
+			n.loop.events <- giveUp{}
+		}
+		if s.shutIdle {
 			n.server.shutIdle(stopQuiet)
 		}
-		open, quiet := n.server.state()
-		if accepting && past >= stopAccept && quiet >= stopQuiet {
+		if s.shutDoor {
 			n.listener.Close()
-			accepting = false
-		}
-		if !accepting && open == 0 && quiet >= stopQuiet {
-			return true
 		}
 	}
-	return false
+	if open, _ := n.server.state(); open > 0 {
+		return fmt.Errorf("planned stop: %d %w", open, ErrUnanswered)
+	}
+	return nil
+}
+
+// enter shows the phase to clients, peers and operators.
+func (n *Node) enter(p phase) {
+	n.phase.Store(int32(p))
+	n.server.draining.Store(p != phaseServing)
+}
+
+// listen opens the clients' door.
+func (n *Node) listen() (err error) {
+	lc := net.ListenConfig{KeepAlive: -1} // time-outs of our own are shorter: four system calls saved at each accept
+	if n.listener, err = lc.Listen(n.ctx, "tcp", n.cfg.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return nil
+}
+
+// Stay calls a planned stop off, as long as it has not come to its end.
+func (n *Node) Stay(ctx context.Context) error {
+	back := make(chan error, 1)
+	select {
+	case n.stay <- back:
+		return <-back
+	case <-n.ctx.Done():
+		return errEnded
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // every does something now and then until ctx ends.
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -20,20 +20,21 @@
 
 // Status is what operators see of an edge node.
 type Status struct {
-	Name     string
-	Ready    bool
-	Draining bool
-	Current  *config.Generation
-	Before   *config.Generation // nil: there is none to return to
-	Left     string             // digest of the file that was rolled back from; empty: none
-	Refused  *config.Refusal    // the last file, if it was refused
-	Keeping  *snapshot.Counts   // how snapshots are written; nil: none are kept
+	Name    string
+	Ready   bool
+	Phase   string // of a planned stop
+	Current *config.Generation
+	Before  *config.Generation // nil: there is none to return to
+	Left    string             // digest of the file that was rolled back from; empty: none
+	Refused *config.Refusal    // the last file, if it was refused
+	Keeping *snapshot.Counts   // how snapshots are written; nil: none are kept
 }
 
 // Status may be called at any time; it waits for nothing.
 func (n *Node) Status() Status {
 	s := *n.status.Load()
-	s.Ready, s.Draining = n.server.ready.Load(), n.server.draining.Load()
+	p := phase(n.phase.Load())
+	s.Ready, s.Phase = n.server.ready.Load() && p == phaseServing, p.String()
 	if n.keep != nil {
 		counts := n.keep.writer.Counts()
 		s.Keeping = &counts
