Run and drain a machine's edge nodes by one program

There was no drain of a whole machine. cmd/machine starts an edge node for each configuration file of a folder, starts again what crashes with backoff and jitter, passes SIGHUP on, and on SIGTERM drains one after another within a budget; its last line and exit code say whether anything was lost, and where.

Its first drain under a front that asks for readiness every 20 ms ran into the budget: each question counted as activity (become() and enter() set active), so an edge node that left was never quiet and its door stayed open for 65 s. Only requests, and what may be one, count now.

--- /dev/null
+++ b/cmd/machine/machine_test.go
@@ -0,0 +1,439 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const patience = 30 * time.Second
+
+var drains = flag.Int("drains", 1, "machines of 8 edge nodes that TestDrainsOfMachines drains under load")
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// log is what the program writes, readable meanwhile.
+type log struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *log) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// site is a machine of real edge nodes with what stands round it.
+type site struct {
+	t      *testing.T
+	folder string
+	bin    string
+	addrs  []string // of the edge nodes
+	disc   *httptest.Server
+	app    *httptest.Server
+	ran    sync.Map // how often a lending server was sent each request
+	down   []atomic.Bool
+	cmd    *exec.Cmd
+	log    *log
+	id     atomic.Int64
+}
+
+// programs builds both, once.
+var programs = sync.OnceValues(func() (string, error) {
+	bin, err := os.MkdirTemp("", "machine")
+	if err != nil {
+		return "", err
+	}
+	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", bin, "../pepperfall", ".").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w\n%s", err, out)
+	}
+	return bin, err
+})
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if bin, err := programs(); err == nil {
+		_ = os.RemoveAll(bin)
+	}
+	os.Exit(code)
+}
+
+func newSite(t *testing.T, n int) *site {
+	t.Helper()
+	bin, err := programs()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{t: t, folder: t.TempDir(), bin: bin, log: &log{}, down: make([]atomic.Bool, n)}
+	s.app = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-Id")
+		c, _ := s.ran.LoadOrStore(id, new(atomic.Int32))
+		c.(*atomic.Int32).Add(1)
+		time.Sleep(10 * time.Millisecond)
+		io.WriteString(w, id)
+	}))
+	t.Cleanup(s.app.Close)
+	s.disc = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("since") != "" {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(time.Second):
+			}
+		}
+		var list []string // servers enough that no request is held for one
+		for i := range 32 {
+			list = append(list, fmt.Sprintf(`{"uid":"s-%08x","endpoint":%q,"az":"a","state":"SERVING","capacity_hint":1,"boot_ms":0}`,
+				i+1, s.app.Listener.Addr()))
+		}
+		fmt.Fprintf(w, `{"rev":7,"all":true,"targets":[%s]}`, strings.Join(list, ","))
+	}))
+	t.Cleanup(s.disc.Close)
+	var peers []string
+	for range n {
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.addrs, peers = append(s.addrs, tcp.Addr().String()), append(peers, udp.LocalAddr().String())
+		defer tcp.Close()
+		defer udp.Close()
+	}
+	for i := range n {
+		s.write(i, fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"seed":"%d","peer_listen":%q,"peers":["%s"],
+			"limits":{"cores":1,"memory_mb":64,"sockets":256},
+			"settings":{"me":%d,"balancers":%d,"zone":"a","tick_ms":2,"discovery":"push",
+			"caps":{"max_attempts":6,"cancel":true,"peers":true,"retry_after":true,"max_retry_after_ms":1000,"dial_timeout_ms":250,"conn_idle_ms":15000},
+			"family_info":{"largest":6,"mail_per_s":100},"rules":{"drain_grace_ms":2000},
+			"classes":[{"name":"perpanjang","aim_ms":5000,"hard_limit_ms":10000,"semantics":"once"}],
+			"plans":[{"name":"dasar"}]}}`, i, s.addrs[i], s.disc.Listener.Addr(), i+1, peers[i], strings.Join(peers, `","`), i, n))
+	}
+	return s
+}
+
+func (s *site) file(i int) string { return filepath.Join(s.folder, fmt.Sprintf("n%d.json", i)) }
+
+func (s *site) write(i int, text string) {
+	if err := os.WriteFile(s.file(i), []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) start() {
+	s.t.Helper()
+	s.cmd = exec.Command(filepath.Join(s.bin, "machine"), "-budget", "40s", s.folder)
+	s.cmd.Stdout, s.cmd.Stderr = s.log, s.log
+	if err := s.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	cmd := s.cmd
+	s.t.Cleanup(func() { _ = cmd.Process.Kill() })
+	for i := range s.addrs {
+		s.ready(i)
+	}
+}
+
+func (s *site) health(i int) int {
+	r, err := http.NewRequest("GET", "http://"+s.addrs[i]+"/healthz", nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Close = true
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func (s *site) ready(i int) {
+	s.t.Helper()
+	eventually(s.t, fmt.Sprint(i, " ready"), func() bool { return s.health(i) == 200 })
+}
+
+func (s *site) signal(sig syscall.Signal) {
+	s.t.Helper()
+	if err := s.cmd.Process.Signal(sig); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// pid is the process of an edge node, by the machine's log.
+func (s *site) pid(i int) int {
+	all := regexp.MustCompile(fmt.Sprintf(`started.*"edge node"=n%d pid=(\d+)`, i)).FindAllStringSubmatch(s.log.String(), -1)
+	if len(all) == 0 {
+		s.t.Fatalf("n%d never started\n%s", i, s.log)
+	}
+	pid, err := strconv.Atoi(all[len(all)-1][1])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return pid
+}
+
+// front deals requests out, as the platform's does: it watches readiness, and
+// gives an edge node nothing more once it is not ready.
+type front struct {
+	s      *site
+	done   chan struct{}
+	wg     sync.WaitGroup
+	served atomic.Int64
+	died   atomic.Int64 // with the process that was killed
+	errs   chan string
+	killed atomic.Int64 // the edge node that may be killed, from 1; 0: none
+}
+
+func (s *site) load(clients int) *front {
+	f := &front{s: s, done: make(chan struct{}), errs: make(chan string, 1000)}
+	for i := range s.addrs {
+		f.wg.Add(1)
+		go f.watch(i)
+		for range clients {
+			f.wg.Add(1)
+			go f.run(i)
+		}
+	}
+	return f
+}
+
+func (f *front) watch(i int) {
+	defer f.wg.Done()
+	for {
+		select {
+		case <-f.done:
+			return
+		case <-time.After(20 * time.Millisecond):
+			f.s.down[i].Store(f.s.health(i) != 200)
+		}
+	}
+}
+
+func (f *front) run(i int) {
+	defer f.wg.Done()
+	var conn net.Conn
+	var br *bufio.Reader
+	for {
+		select {
+		case <-f.done:
+			return
+		default:
+		}
+		if f.s.down[i].Load() {
+			if conn != nil {
+				conn.Close()
+				conn = nil
+			}
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		fresh := conn == nil
+		if fresh {
+			var err error
+			if conn, err = net.Dial("tcp", f.s.addrs[i]); err != nil {
+				conn = nil
+				time.Sleep(5 * time.Millisecond) // seen down in a moment
+				continue
+			}
+			br = bufio.NewReader(conn)
+		}
+		id := fmt.Sprintf("%x", f.s.id.Add(1))
+		_, err := fmt.Fprintf(conn, "POST /perpanjang HTTP/1.1\r\nHost: app\r\nX-Request-Id: %s\r\nX-Class: perpanjang\r\nX-Tier: dasar\r\n"+
+			"Cookie: key=%016x\r\nX-Deadline-Ms: 10000\r\nContent-Length: 0\r\nX-Call-Terms: units=1,spread=1,first=%d\r\n\r\n", id, i, i)
+		var resp *http.Response
+		if err == nil {
+			resp, err = http.ReadResponse(br, nil)
+		}
+		if err != nil {
+			conn.Close()
+			conn = nil
+			_, ran := f.s.ran.Load(id)
+			switch {
+			case f.killed.Load() == int64(i+1):
+				f.died.Add(1)
+			case !fresh && !ran: // it crossed the closing of an idle connection: sent again as another
+			default:
+				f.errs <- fmt.Sprintf("n%d, %s: %v (sent on: %v)", i, id, err, ran)
+			}
+			continue
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != 200 || string(body) != id {
+			f.errs <- fmt.Sprintf("n%d, %s: %d %q %v", i, id, resp.StatusCode, body, err)
+		}
+		f.served.Add(1)
+		if resp.Close {
+			conn.Close()
+			conn = nil
+		}
+	}
+}
+
+func (f *front) more(n int64) {
+	f.s.t.Helper()
+	from := f.served.Load()
+	eventually(f.s.t, "further requests served", func() bool { return f.served.Load() >= from+n })
+}
+
+func (f *front) stop() {
+	f.s.t.Helper()
+	close(f.done)
+	f.wg.Wait()
+	close(f.errs)
+	for e := range f.errs {
+		f.s.t.Error(e)
+	}
+	f.s.ran.Range(func(id, n any) bool {
+		if got := n.(*atomic.Int32).Load(); got != 1 {
+			f.s.t.Errorf("%v was sent on %d times", id, got)
+		}
+		return true
+	})
+}
+
+// end waits for the machine's end and gives its exit code and last line.
+func (s *site) end() (int, string) {
+	s.t.Helper()
+	ended := make(chan error, 1)
+	cmd := s.cmd
+	go func() { ended <- cmd.Wait() }()
+	select {
+	case err := <-ended:
+		var exit *exec.ExitError
+		if err != nil && !errors.As(err, &exit) {
+			s.t.Fatal(err)
+		}
+	case <-time.After(2 * patience):
+		s.t.Fatalf("did not end\n%s", s.log)
+	}
+	lines := strings.Split(strings.TrimSpace(s.log.String()), "\n")
+	return cmd.ProcessState.ExitCode(), lines[len(lines)-1]
+}
+
+// A real machine under load: one edge node drains, one is killed and comes back,
+// one is added, one is in a crash loop, and then the machine drains. Every request
+// is answered but those that died with the killed process, and none is sent on
+// twice.
+func TestMachine(t *testing.T) {
+	s := newSite(t, 4)
+	broken := filepath.Join(s.folder, "x.json")
+	if err := os.WriteFile(broken, []byte(`{"name":`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.start()
+	f := s.load(2)
+	f.more(100)
+	eventually(t, "the broken one tried again", func() bool {
+		return strings.Count(s.log.String(), `started "edge node"=x`) > 2 || strings.Count(s.log.String(), `msg=started "edge node"=x`) > 2
+	})
+
+	text, err := os.ReadFile(s.file(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(s.file(1)); err != nil {
+		t.Fatal(err)
+	}
+	s.signal(syscall.SIGHUP)
+	eventually(t, "n1 drained", func() bool { return strings.Contains(s.log.String(), `ended "edge node"=n1 how="exit status 0"`) })
+	f.more(100)
+	s.write(1, string(text))
+	s.signal(syscall.SIGHUP)
+	s.ready(1)
+	f.more(100)
+
+	f.killed.Store(3)
+	first := s.pid(2)
+	if err := syscall.Kill(first, syscall.SIGKILL); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "n2 back", func() bool { return s.pid(2) != first })
+	s.ready(2)
+	f.more(100)
+
+	s.signal(syscall.SIGTERM)
+	code, line := s.end()
+	f.stop()
+	if code != 0 || !strings.Contains(line, "nothing lost") || !strings.Contains(line, "n2 (1)") || !strings.Contains(line, "x (") {
+		t.Errorf("exit code %d, %s\n%s", code, line, s.log)
+	}
+	t.Log(line)
+}
+
+// Machines of eight edge nodes drain under load and lose nothing.
+func TestDrainsOfMachines(t *testing.T) {
+	var took []string
+	var served int64
+	for range *drains {
+		s := newSite(t, 8)
+		s.start()
+		f := s.load(2)
+		f.more(300)
+		began := time.Now()
+		s.signal(syscall.SIGTERM)
+		code, line := s.end()
+		took = append(took, time.Since(began).Round(100*time.Millisecond).String())
+		f.stop()
+		if code != 0 || !strings.Contains(line, "nothing lost") {
+			t.Errorf("exit code %d, %s", code, line)
+		}
+		served += f.served.Load()
+	}
+	t.Logf("%d drains of 8 edge nodes, %d requests served, took %v", *drains, served, took)
+}
+
+func TestUsage(t *testing.T) {
+	empty := t.TempDir()
+	for args, want := range map[string]struct {
+		code int
+		text string
+	}{
+		"-h":                               {0, "usage: machine"},
+		"":                                 {exitUsage, "usage: machine"},
+		"-budget 1ms " + empty:             {exitUsage, "-budget"},
+		"-budget x " + empty:               {exitUsage, "-budget"},
+		"-program /nowhere " + empty:       {exitUsage, "-program"},
+		"-program /bin/true " + empty:      {exitUsage, "no configuration file"},
+		"-program /bin/true /nowhere/else": {exitUsage, "no such file"},
+	} {
+		var out bytes.Buffer
+		if code := run(strings.Fields(args), &out); code != want.code || !strings.Contains(out.String(), want.text) {
+			t.Errorf("%q: %d, %q", args, code, out.String())
+		}
+	}
+}
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -211,3 +211,71 @@
 		t.Error(err)
 	}
 }
+
+// A stop can't be called off once another has the address: it goes on to its end.
+func TestCallOffTooLate(t *testing.T) {
+	a, let := held(t)
+	cfg := fileConfig(t, newRegistry(t, serving("s-00000001", a.addr())).addr, "", testSettings)
+	cfg.Current().File.Listen = refusing(t)
+	n := start(t, cfg)
+	answered := make(chan int, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(request(n.url, "loan", patience))
+		if err != nil {
+			answered <- 0
+			return
+		}
+		resp.Body.Close()
+		answered <- resp.StatusCode
+	}()
+	eventually(t, "the request out", func() bool { return a.seen.Load() == 1 })
+	n.stop()
+	eventually(t, "the door shut", func() bool { return n.Status().Phase == finishing.String() })
+	other, err := net.Listen("tcp", cfg.Current().File.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if err := n.Stay(t.Context()); err == nil {
+		t.Error("called off though the address is another's")
+	}
+	let()
+	if got := <-answered; got != 200 {
+		t.Errorf("%d for what was open", got)
+	}
+	if err := <-n.done; err != nil {
+		t.Error(err)
+	}
+}
+
+// The front asks for readiness for as long as an edge node leaves, each time on a
+// new connection: that must not keep the door open.
+func TestProbesDontHoldUpAStop(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "a"))
+	n := nodeWith(t, a.addr())
+	ended := make(chan struct{})
+	n.stop()
+	go func() {
+		for {
+			select {
+			case <-ended:
+				return
+			default:
+			}
+			r, err := http.NewRequest("GET", n.url+"/healthz", nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			r.Close = true
+			if resp, err := http.DefaultClient.Do(r); err == nil {
+				resp.Body.Close()
+			}
+		}
+	}()
+	eventually(t, "the end", func() bool { return n.ctx.Err() != nil })
+	close(ended)
+	if err := <-n.done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -211,11 +211,13 @@
 }
 
 // listen opens the clients' door.
-func (n *Node) listen() (err error) {
+func (n *Node) listen() error {
 	lc := net.ListenConfig{KeepAlive: -1} // time-outs of our own are shorter: four system calls saved at each accept
-	if n.listener, err = lc.Listen(n.ctx, "tcp", n.cfg.Listen); err != nil {
+	ln, err := lc.Listen(n.ctx, "tcp", n.cfg.Listen)
+	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	n.listener = ln
 	return nil
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -45,7 +45,7 @@
 	most   int // connections kept open at once
 	conns  map[*clientConn]struct{}
 	shut   int           // of them, closed here and not yet let go
-	active time.Duration // when a request last came
+	active time.Duration // when a request was last taken
 }
 
 // clientConn is a client's connection.
@@ -60,6 +60,7 @@
 	state connState
 	since time.Duration
 	good  bool // a request that could be used has come
+	probe bool // or else one for readiness, which nobody loses
 	shut  bool // closed by this edge node while no request was taken on it
 }
 
@@ -162,8 +163,7 @@
 		c.Close()
 		return nil
 	}
-	s.active = s.clock.now()
-	cc := &clientConn{Conn: c, since: s.active}
+	cc := &clientConn{Conn: c, since: s.clock.now()}
 	cc.in.src = c
 	s.conns[cc] = struct{}{}
 	return cc
@@ -227,11 +227,19 @@
 	}
 }
 
-// state tells how many connections are open and how long ago a request came.
+// state tells how many connections are open and how long ago a request was taken,
+// or something began to come that may be one. Questions for readiness don't count:
+// the front asks them for as long as an edge node leaves.
 func (s *server) state() (open int, quiet time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.conns), s.clock.now() - s.active
+	last := s.active
+	for cc := range s.conns {
+		if !cc.shut && (cc.state == connReading || cc.state == connIdle && !cc.good && !cc.probe) {
+			last = max(last, cc.since)
+		}
+	}
+	return len(s.conns), s.clock.now() - last
 }
 
 // become notes what a connection does now.
@@ -239,9 +247,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cc.state, cc.since = state, s.clock.now()
-	if state == connReading {
-		s.active = cc.since
-	}
 }
 
 // take marks the request's connection as busy if it is still open on this
@@ -253,7 +258,7 @@
 	if cc.shut {
 		return false
 	}
-	cc.state, cc.good = connBusy, true
+	cc.state, cc.good, s.active = connBusy, true, s.clock.now()
 	return true
 }
 
@@ -371,6 +376,9 @@
 func (s *server) handle(cc *clientConn) bool {
 	r := &cc.req
 	if path(r.target) == "/healthz" && string(r.method) == "GET" {
+		s.mu.Lock()
+		cc.probe = true
+		s.mu.Unlock()
 		if !s.ready.Load() || s.draining.Load() {
 			return s.reply(cc, 503, "", "not ready")
 		}
