Look again for what came through the door as it was shut

A planned stop that found nothing open shut the door and ended in one step: what was accepted between the look and the shutting was cut off (step() fell through from leaving to stopped). Seen with -race, under questions for readiness without pause: '1 connections were still open'. It now ends a step later at the soonest.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -77,10 +77,13 @@
 		if (d.hastened || past >= stopAccept) && quiet >= stopQuiet {
 			d.phase, s.shutDoor = finishing, true
 		}
-	case finishing:
+	case finishing: // what came through the door as it shut has been counted by now
 		s.shutIdle = true
+		if open == 0 && quiet >= stopQuiet {
+			d.phase, s.end = stopped, true
+		}
 	}
-	if d.phase == finishing && open == 0 && quiet >= stopQuiet || d.phase < stopped && d.phase > phaseServing && past >= stopMost {
+	if (d.phase == leaving || d.phase == finishing) && past >= stopMost {
 		s.shutDoor = s.shutDoor || d.phase == leaving
 		d.phase, s.end = stopped, true
 	}
