Tell peers of an edge node's end, so that nobody waits for it

Peers found out by silence that an edge node had stopped: in a small fleet its part of caps and rates stayed taken for six ticks and then faded over 10 s (silent(), weight()), in a large one each request asked a root that was gone three times before its deputy (ask()). An edge node now ends with one datagram of 6 bytes, which older programs pass over. In a large fleet all go back to the root after 2 s together: some asking the one and some the other would count each for itself.

A hastened stop gives up what comes to be held later too; before, a request that reached the loop behind the signal was held.

--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -49,9 +49,8 @@
 	return &keeper{writer: snapshot.NewWriter(s), status: status, list: map[string]roster.Target{}}
 }
 
-// capture has the loop hand a state to the writer; the last is the end of the
-// loop, so that nothing is let in behind it.
-type capture struct{ last bool }
+// capture has the loop hand a state to the writer.
+type capture struct{}
 
 // members follows the list.
 func (k *keeper) members(l *roster.List, whole bool) {
@@ -139,10 +138,9 @@
 // look has the loop see whether there is something to keep.
 func (n *Node) look() { n.loop.events <- capture{} }
 
-// keepLast keeps the state of an edge node that has answered all it took.
+// keepLast waits until the state of an edge node that has answered all it took is
+// on disk.
 func (n *Node) keepLast() {
-	n.loop.events <- capture{last: true}
-	<-n.loop.over
 	ctx, end := context.WithTimeout(context.Background(), keepStop)
 	defer end()
 	if !n.keep.writer.Close(ctx) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -81,8 +81,12 @@
 	done chan struct{}
 }
 
-// giveUp has what waits answered at once: it may be asked for elsewhere.
-type giveUp struct{}
+// leave ends the loop: nothing is let in behind what it tells and keeps.
+type leave struct{}
+
+// giveUp has what waits answered at once from now on, or no longer: it may be
+// asked for elsewhere.
+type giveUp bool
 
 // loop owns the Gateway and the state of all open requests. Others hand it
 // events; it never waits for a socket.
@@ -97,6 +101,7 @@
 	onApply func(gen *config.Generation) // puts its limits in force elsewhere
 	reread  func(c *call) error          // reads a request anew, by the generation in force
 
+	hasty  bool          // a planned stop was hastened
 	keep   *keeper       // nil: no snapshots are kept
 	over   chan struct{} // closed when run has ended
 	events chan any
@@ -126,8 +131,8 @@
 		case <-done:
 			return
 		case ev := <-l.events:
-			if c, ok := ev.(capture); ok && c.last {
-				l.keep.writer.Offer(l.keep.state(l, true))
+			if _, ok := ev.(leave); ok {
+				l.leave()
 				return
 			}
 			l.handle(ev)
@@ -176,12 +181,15 @@
 	case policy.Restore:
 		l.decide(ev)
 	case giveUp:
-		l.giveUp()
+		l.hasty = bool(ev)
 	case capture:
 		if st := l.keep.state(l, false); st != nil {
 			l.keep.writer.Offer(st)
 		}
 	}
+	if l.hasty {
+		l.giveUp()
+	}
 }
 
 // apply is the one point at which a new generation comes into force. What was
@@ -194,6 +202,13 @@
 	close(ev.done)
 }
 
+func (l *loop) leave() {
+	l.decide(policy.Leave{})
+	if l.keep != nil {
+		l.keep.writer.Offer(l.keep.state(l, true))
+	}
+}
+
 // giveUp refuses the requests that have no attempt out. One that may have run is
 // not to be asked for again lightly: it fails.
 func (l *loop) giveUp() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,6 +132,11 @@
 	if err := n.serve(term); err != nil {
 		return err
 	}
+	n.loop.events <- leave{}
+	<-n.loop.over
+	if n.peers != nil {
+		n.peers.flush()
+	}
 	if n.keep != nil {
 		n.keepLast()
 	}
@@ -178,6 +183,7 @@
 			}
 			if err == nil {
 				poll.Stop()
+				n.loop.events <- giveUp(false)
 				slog.Info("planned stop called off")
 			}
 			n.enter(d.phase)
@@ -189,7 +195,7 @@
 		}
 		n.enter(d.phase)
 		if s.giveUp {
-			n.loop.events <- giveUp{}
+			n.loop.events <- giveUp(true)
 		}
 		if s.shutIdle {
 			n.server.shutIdle(stopQuiet)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -6,11 +6,13 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"time"
 )
 
 const (
 	mostDatagram = 256 // bytes
 	peerQueue    = 256 // datagrams that wait to be sent; more are dropped
+	mostFlush    = 100 * time.Millisecond
 )
 
 // peers carries the module's messages to the other edge nodes and back.
@@ -25,6 +27,7 @@
 type datagram struct {
 	to   netip.AddrPort
 	data []byte
+	sent chan struct{} // closed when its turn has come; nothing is sent then
 }
 
 func listenPeers(listen string, to []netip.AddrPort, all netip.AddrPort, hear func(int, []byte)) (*peers, error) {
@@ -58,11 +61,26 @@
 
 func (p *peers) queue(to netip.AddrPort, data []byte) {
 	select {
-	case p.out <- datagram{to, data}:
+	case p.out <- datagram{to: to, data: data}:
 	default:
 	}
 }
 
+// flush waits until what is queued is sent, but not for long: the network may lose
+// it all the same.
+func (p *peers) flush() {
+	sent, late := make(chan struct{}), time.After(mostFlush)
+	select {
+	case p.out <- datagram{sent: sent}:
+	case <-late:
+		return
+	}
+	select {
+	case <-sent:
+	case <-late:
+	}
+}
+
 // send writes what is queued until done is closed.
 func (p *peers) send(done <-chan struct{}) {
 	for {
@@ -70,6 +88,10 @@
 		case <-done:
 			return
 		case d := <-p.out:
+			if d.sent != nil {
+				close(d.sent)
+				continue
+			}
 			_, _ = p.conn.WriteToUDPAddrPort(d.data, d.to) // lost like any other
 		}
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -191,6 +191,9 @@
 // CanTell, MustAsk and MailPerSecond must be as they were.
 type Reconfigure struct{ Settings Settings }
 
+// Leave tells that this gateway ends; nothing more is asked of it.
+type Leave struct{}
+
 // Action is something a gateway wants done.
 type Action interface{ action() }
 
@@ -243,6 +246,7 @@
 func (Members) event()     {}
 func (Reconfigure) event() {}
 func (Restore) event()     {}
+func (Leave) event()       {}
 
 func (Send) action()     {}
 func (Cancel) action()   {}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -45,6 +45,9 @@
 		g.reconfigure(ev.Settings)
 	case Restore:
 		g.restore(ev)
+	case Leave:
+		g.report() // the last units passed here
+		g.do(Tell{To: -1, Data: encode(leave{g.inc})})
 	}
 	out, g.acts = g.acts, nil
 	return out
@@ -107,6 +110,8 @@
 		g.onVerdict(m.Verdict, g.placeMask(m.Verdict.Bad, true, m.Mark))
 	case tables:
 		g.onTables(ev.From, m)
+	case leave:
+		g.onLeave(ev.From, m)
 	case report:
 		g.onReport(g.peers[ev.From], m)
 	}
@@ -236,7 +241,7 @@
 	if p.heard && p.inc == m.inc && int32(m.seq-p.seq) <= 0 {
 		return // old or repeated: the later report holds all it said
 	}
-	if m.complete || p.inc != m.inc {
+	if p.left = p.left && p.inc == m.inc; m.complete || p.inc != m.inc {
 		for _, v := range p.views {
 			v.out, v.held = 0, 0
 		}
--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -483,3 +483,82 @@
 		t.Errorf("not asked again: %v", acts)
 	}
 }
+
+// A root that has told of its end is not waited for: its members turn to the
+// deputy at once, and back to it together once it may be there again. Where the
+// word is lost they find out as ever.
+func TestLeaverIsNotAsked(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		w := newCrowd(t, 100, fleet(40))
+		roots, deputy := w.gs[0].roots(&customer{key: keyOf("k"), plan: w.gs[0].plans["rate"], first: 0, spread: 50})
+		root, i := roots[0], 0
+		for i == root || i == deputy {
+			i++
+		}
+		asked := map[int]int{}
+		dead := true
+		w.lose = func(from, to int) bool {
+			if from == i {
+				asked[to]++
+			}
+			return lost && from == root || dead && to == root
+		}
+		w.do(root, Leave{})
+		w.pass(30*ms, nil)
+		clear(asked)
+		w.request(i, 1, "k", "rate", "safe", 50)
+		w.pass(40*ms, nil)
+		if lost && asked[root] == 0 {
+			t.Error("the lost word was heard")
+		}
+		if !lost && (asked[root] > 0 || asked[deputy] == 0 || len(w.sends) != 1) {
+			t.Errorf("%d asks to the root that has left, %d to its deputy, %d sent on", asked[root], asked[deputy], len(w.sends))
+		}
+		w.pass(leftFor+300*ms, nil)
+		dead = false
+		clear(asked)
+		w.request(i, 2, "k", "rate", "safe", 50)
+		w.pass(100*ms, nil)
+		if asked[root] == 0 || asked[deputy] > 0 || len(w.gs[i].left) > 0 {
+			t.Errorf("lost %v: %d asks to the root that is back, %d to its deputy", lost, asked[root], asked[deputy])
+		}
+	}
+}
+
+// In a small fleet the part of a cap and of a rate that a leaver had is free at
+// once, its last units are told, a late report does not bring it back, and another
+// process of it does.
+func TestLeaverFreesItsPart(t *testing.T) {
+	w := newWorld(t, base(), fleet(8))
+	ask := func() int {
+		_, acts := w.ask("safe", "open", "c", 1)
+		return len(of[Send](acts))
+	}
+	first := ask()
+	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), out: 15, rate: 60})
+	if first != 1 || ask() != 0 {
+		t.Fatal("the cap is not full")
+	}
+	w.do(PeerMessage{From: 1, Data: encode(leave{Inc: 7})}) // of a process before that one
+	w.now += ms
+	if w.g.peers[1].left {
+		t.Error("another process's end counts")
+	}
+	w.do(PeerMessage{From: 1, Data: encode(leave{Inc: 1})})
+	w.hear(1, 1, 2, true, entry{hash: hashOf("c"), out: 15})
+	w.pass(50 * ms)
+	if n := ask() + ask(); w.g.customers[keyOf("c")].out != 2 {
+		t.Errorf("%d sent on of a cap of 2, %d out", n, w.g.customers[keyOf("c")].out)
+	}
+	w.pass(time.Minute) // gone for good, it counts for nothing
+	if out, _ := w.g.others(w.g.customers[keyOf("c")]); out != 0 {
+		t.Errorf("%v out at one that has left", out)
+	}
+	w.hear(1, 2, 1, true, entry{hash: hashOf("c"), out: 4})
+	if out, _ := w.g.others(w.g.customers[keyOf("c")]); out != 1 {
+		t.Errorf("%v out at its next process", out)
+	}
+	if tells := of[Tell](w.do(Leave{})); len(tells) != 2 || tells[0].To != 1 || tells[1].To != -1 {
+		t.Errorf("%v, want a last report and the word to all", tells)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,6 +64,7 @@
 	strainOwn          = 0.15                             // weight of an outcome or a root's word in it
 
 	// Where reports from all to all are more than the mail bears.
+	leftFor      = 2 * time.Second       // one that told of its end is back by then, or is missed as ever
 	treeBeyond   = 2                     // the mail would stretch the longest tick by this factor
 	rootMail     = 0.5                   // part of its mail intake that a root spends on one customer
 	rootPeak     = 2.0                   // asks it must bear, as a multiple of those inside the quota
@@ -229,7 +230,7 @@
 }
 
 // silent tells whether a peer's counts are too old to be used.
-func (g *Gateway) silent(p *peer) bool { return !p.heard || g.now-p.at > staleTicks*g.tick }
+func (g *Gateway) silent(p *peer) bool { return !p.heard || p.left || g.now-p.at > staleTicks*g.tick }
 
 // even is the demand taken for granted: a fresh customer's split is even.
 func (g *Gateway) even(c *customer) float64 { return evenRate*c.plan.Rate + evenLeast }
@@ -239,6 +240,9 @@
 // passing its part, or dead for good.
 func (g *Gateway) weight(c *customer, v *peerView) float64 {
 	w := v.rate
+	if v.p.left {
+		return 0 // it has ended, and said so
+	}
 	if g.silent(v.p) {
 		fade := math.Exp(-(g.now - max(v.p.at, g.start)).Seconds() / forgetAfter.Seconds())
 		w = max(w, c.rate) * (leastWeight + (1-leastWeight)*fade)
@@ -356,13 +360,8 @@
 // within tells whether quota and ceiling have the request's units.
 func (g *Gateway) within(r *request) bool {
 	c := r.c
-	if r.counted {
-		return true
-	}
-	if c.plan.Rate > 0 && !r.granted && g.allowance(c) < r.units {
-		return false
-	}
-	return c.plan.HardRate == 0 || r.granted || c.ceiling >= r.units
+	return r.counted || r.granted || (c.plan.Rate == 0 || g.allowance(c) >= r.units) &&
+		(c.plan.HardRate == 0 || c.ceiling >= r.units)
 }
 
 // hold puts a request in its customer's queue. What no tick could answer in
@@ -446,13 +445,9 @@
 // again decides whether a request may have a further attempt. Where it may go
 // is usable's to say. The budget keeps retries from feeding an overload.
 func (g *Gateway) again(r *request, code Code) bool {
-	if g.set.MaxAttempts > 0 && r.attempts >= g.set.MaxAttempts {
-		return false
-	}
-	if r.ran && (r.cl.Effect == Unsafe || r.cl.Effect == Keyed && g.now-r.ranAt >= r.cl.Window) {
-		return false
-	}
-	if g.now+time.Duration(r.cl.mean/2*float64(time.Second)) > r.deadline {
+	if g.set.MaxAttempts > 0 && r.attempts >= g.set.MaxAttempts ||
+		r.ran && (r.cl.Effect == Unsafe || r.cl.Effect == Keyed && g.now-r.ranAt >= r.cl.Window) ||
+		g.now+time.Duration(r.cl.mean/2*float64(time.Second)) > r.deadline {
 		return false
 	}
 	if !code.NeverRan() || code == Full {
@@ -515,10 +510,8 @@
 // ejected (but for a trial), inside its group and window once it may have
 // run, and inside the budget of a cold server.
 func (g *Gateway) usable(s *server, r *request) bool {
-	if s.State != Running || g.now < s.fullAt[r.c.plan] {
-		return false
-	}
-	if r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
+	if s.State != Running || g.now < s.fullAt[r.c.plan] ||
+		r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
 		return false
 	}
 	if cold := g.coldness(s); cold < 1 {
@@ -691,9 +684,7 @@
 		g.watch()
 		g.forget()
 	}
-	if g.set.FallTime > 0 {
-		g.sendRate *= math.Exp(-float64(dt) / float64(g.set.FallTime))
-	}
+	g.sendRate *= math.Exp(-float64(dt) / float64(max(1, g.set.FallTime)))
 	g.sumLoads()
 	g.adapt(dt)
 	for _, s := range g.fleet {
@@ -778,7 +769,9 @@
 func (g *Gateway) ask(r *request) {
 	c, to := r.c, g.set.Me
 	if len(c.ask) > 0 { // by new figures it may count here by now
-		to = c.ask[min(1, r.asked/rootAsks)]
+		if to = c.ask[0]; r.asked == rootAsks || g.gone(to) {
+			to = c.ask[1]
+		}
 	}
 	t := g.toPeer(to, r)
 	delete(g.asks, r.tag)
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -94,6 +95,7 @@
 	seq      uint32
 	at       time.Duration
 	heard    bool
+	left     bool               // that process told that it ends
 	complete bool               // its last report named all customers with news
 	outs     map[uint16]float64 // attempts out by server
 	views    []*peerView        // what it said of each customer
@@ -205,9 +207,10 @@
 	speaks    map[int]uint16 // by which table a gateway speaks, where mixed
 	hinted    []int          // gateways told of the tables here since the last tick
 
-	restored bool               // it was told of the time before its start,
-	clean    bool               // and of all that was let in then
-	kept     map[uint64]float64 // stores, as they were so long before the start
+	left     map[int]time.Duration // gateways that have told that they end: until when they count as gone
+	restored bool                  // it was told of the time before its start,
+	clean    bool                  // and of all that was let in then
+	kept     map[uint64]float64    // stores, as they were so long before the start
 	keptFor  time.Duration
 
 	lapsedClasses map[string]*class // of the generation before, gone from the newest
@@ -259,6 +262,7 @@
 // measure takes each customer's mean of attempts out over a tick.
 func (g *Gateway) measure(dt time.Duration) {
 	g.hinted = g.hinted[:0]
+	maps.DeleteFunc(g.left, func(_ int, until time.Duration) bool { return g.now >= until })
 	for _, c := range g.ring {
 		c.expire(g.now)
 		c.count(g.now, 0)
@@ -378,7 +382,7 @@
 		asks:   map[uint32]*request{},
 		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{}}
 	g.inc = g.rng.Uint32()
-	g.tables = []*table{newTable(&s)}
+	g.tables, g.left = []*table{newTable(&s)}, map[int]time.Duration{}
 	for i, p := range s.Plans {
 		g.plans[p.Name] = &quota{p, byte(i)}
 	}
