Hand a leaving root's counts to the deputy, and back

What an edge node counted as a customer's root was gone with it: its deputy began from what the members last heard, knew of no attempt out under the cap and let as many in again (account() makes a fresh customer). A leaver now hands on each store and each attempt out in acknowledged parts of at most 256 bytes before it tells of its end; members tell ends of those to the deputy, ask it at once for what was held, and after 2 s all turn to the root again, to which the deputy hands the stores back.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -30,6 +30,7 @@
 	stopReading  = 2 * time.Second // a request that has begun to come by then is given so long
 	stopMost     = 65 * time.Second
 	stopPoll     = 10 * time.Millisecond
+	stopHand     = time.Second // what others count on is handed on by then, or missed
 )
 
 // departure is a planned stop as a state machine: time and counts in, steps out.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -81,8 +81,10 @@
 	done chan struct{}
 }
 
-// leave ends the loop: nothing is let in behind what it tells and keeps.
-type leave struct{}
+// leave has the module hand on what others count on, and then ends the loop: nothing
+// is let in behind what it tells and keeps. It ends at once for one that may not
+// wait.
+type leave struct{ now bool }
 
 // giveUp has what waits answered at once from now on, or no longer: it may be
 // asked for elsewhere.
@@ -102,6 +104,7 @@
 	reread  func(c *call) error          // reads a request anew, by the generation in force
 
 	hasty  bool          // a planned stop was hastened
+	left   bool          // nothing more is to be said or kept
 	keep   *keeper       // nil: no snapshots are kept
 	over   chan struct{} // closed when run has ended
 	events chan any
@@ -131,15 +134,16 @@
 		case <-done:
 			return
 		case ev := <-l.events:
-			if _, ok := ev.(leave); ok {
-				l.leave()
-				return
-			}
 			l.handle(ev)
 		case <-l.timer.C:
 			l.wake = 0
 		}
-		l.fire()
+		if l.fire(); l.left {
+			if l.keep != nil {
+				l.keep.writer.Offer(l.keep.state(l, true))
+			}
+			return
+		}
 	}
 }
 
@@ -180,6 +184,10 @@
 		l.apply(ev)
 	case policy.Restore:
 		l.decide(ev)
+	case leave:
+		if l.left = l.left || ev.now; !ev.now {
+			l.decide(policy.Leave{})
+		}
 	case giveUp:
 		l.hasty = bool(ev)
 	case capture:
@@ -202,13 +210,6 @@
 	close(ev.done)
 }
 
-func (l *loop) leave() {
-	l.decide(policy.Leave{})
-	if l.keep != nil {
-		l.keep.writer.Offer(l.keep.state(l, true))
-	}
-}
-
 // giveUp refuses the requests that have no attempt out. One that may have run is
 // not to be asked for again lightly: it fails.
 func (l *loop) giveUp() {
@@ -378,6 +379,8 @@
 		}
 	case policy.Watch:
 		// The list is watched from the start, asked for or not.
+	case policy.Left:
+		l.left = true
 	case policy.Log:
 		slog.Info(a.Text)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,13 @@
 		return err
 	}
 	n.loop.events <- leave{}
-	<-n.loop.over
+	select {
+	case <-n.loop.over:
+	case <-time.After(stopHand):
+		slog.Warn("counts not handed on in time")
+		n.loop.events <- leave{now: true}
+		<-n.loop.over
+	}
 	if n.peers != nil {
 		n.peers.flush()
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -191,7 +191,7 @@
 // CanTell, MustAsk and MailPerSecond must be as they were.
 type Reconfigure struct{ Settings Settings }
 
-// Leave tells that this gateway ends; nothing more is asked of it.
+// Leave tells that this gateway is to end; it answers with Left.
 type Leave struct{}
 
 // Action is something a gateway wants done.
@@ -234,6 +234,9 @@
 // Watch asks for the server list and its changes from now on.
 type Watch struct{}
 
+// Left tells that a gateway that was told to leave has nothing more to say.
+type Left struct{}
+
 // Log writes a line for the operators.
 type Log struct{ Text string }
 
@@ -256,3 +259,4 @@
 func (Tell) action()     {}
 func (Watch) action()    {}
 func (Log) action()      {}
+func (Left) action()     {}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -31,11 +31,13 @@
 			g.close(r)
 		}
 	case Timer:
-		if ev.Token == "tick" && now > g.lastTick {
+		switch {
+		case ev.Token == "tick" && now > g.lastTick:
 			g.onTick()
-		}
-		if ev.Token == "ask" {
+		case ev.Token == "ask":
 			g.onAskTimer()
+		case ev.Token == "hand":
+			g.handAgain()
 		}
 	case PeerMessage:
 		g.onPeer(ev)
@@ -46,8 +48,7 @@
 	case Restore:
 		g.restore(ev)
 	case Leave:
-		g.report() // the last units passed here
-		g.do(Tell{To: -1, Data: encode(leave{g.inc})})
+		g.onLeaving()
 	}
 	out, g.acts = g.acts, nil
 	return out
@@ -102,18 +103,12 @@
 		g.onEnded(ev.From, m)
 	case sight:
 		g.onSight(m, g.place(m.Class, false, 0))
-	case markedSight:
-		g.onSight(m.Sight, g.place(m.Sight.Class, true, m.Mark))
 	case verdict:
 		g.onVerdict(m, g.placeMask(m.Bad, false, 0))
-	case markedVerdict:
-		g.onVerdict(m.Verdict, g.placeMask(m.Verdict.Bad, true, m.Mark))
-	case tables:
-		g.onTables(ev.From, m)
-	case leave:
-		g.onLeave(ev.From, m)
 	case report:
 		g.onReport(g.peers[ev.From], m)
+	default:
+		g.onFleet(ev.From, m)
 	}
 }
 
@@ -130,7 +125,7 @@
 	// A grant may still be on its way here, or the request held at the root.
 	if r.asked > 0 && (r.c.plan.Open > 0 || !r.counted) {
 		r.asked = 0
-		end := Tell{To: r.root, Data: encode(ended{r.c.key, r.tag, !r.counted})}
+		end := Tell{To: g.endTo(r), Data: encode(ended{r.c.key, r.tag, !r.counted})}
 		g.do(end)
 		g.ends = append(g.ends, end)
 	}
--- /dev/null
+++ b/policy/handover.go
@@ -0,0 +1,281 @@
+package policy
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+)
+
+// Handing on. A root that ends hands each customer's counts to that customer's
+// deputy: what its store holds, and the attempts out under its cap. It answers no
+// ask from then on, and tells all of its end once every part is acknowledged, or
+// was said handTries times. Once all turn to the root again its deputy hands the
+// store back; attempts that it granted end there, where their members tell of it.
+//
+// A part may come late, twice or out of order: it is adopted once, and never adds
+// to what a store holds.
+
+// handed is a part of a customer's counts. On the wire: version, kind 9, then the
+// fields in their order, as many grants as follow.
+type handed struct {
+	Inc           uint32 // of the sender
+	Seq           uint32 // names the part
+	Mark          uint16 // of the table that counts plans
+	Plan          byte
+	Customer      uint64
+	First, Spread uint16
+	Store         float32 // units
+	Grants        []handedGrant
+}
+
+// handedGrant is an attempt out that a gateway was granted.
+type handedGrant struct {
+	From        uint16
+	Tag         uint32
+	Units, Left uint16 // Left: milliseconds until its client gives up
+}
+
+// took acknowledges a part.
+type took struct{ Inc, Seq uint32 }
+
+const (
+	handedKind = 9
+	handedHead = 2 + 29
+	handedSize = 10 // of a grant
+
+	handTries   = 4    // a part is said so often at most,
+	handAtOnce  = 20   // so many parts at once: each takes a place in somebody's mail
+	mostAdopted = 4096 // and so many are remembered
+)
+
+func (m *handed) encode() []byte {
+	b := binary.BigEndian.AppendUint32([]byte{shortVersion, handedKind}, m.Inc)
+	b = binary.BigEndian.AppendUint32(b, m.Seq)
+	b = binary.BigEndian.AppendUint16(b, m.Mark)
+	b = append(b, m.Plan)
+	b = binary.BigEndian.AppendUint64(b, m.Customer)
+	b = binary.BigEndian.AppendUint16(b, m.First)
+	b = binary.BigEndian.AppendUint16(b, m.Spread)
+	b = binary.BigEndian.AppendUint32(b, math.Float32bits(m.Store))
+	b = binary.BigEndian.AppendUint16(b, uint16(len(m.Grants)))
+	for _, l := range m.Grants {
+		b = binary.BigEndian.AppendUint16(b, l.From)
+		b = binary.BigEndian.AppendUint32(b, l.Tag)
+		b = binary.BigEndian.AppendUint16(b, l.Units)
+		b = binary.BigEndian.AppendUint16(b, l.Left)
+	}
+	return b
+}
+
+// decodeHanded reads what follows version and kind; nil: it is not whole, or can't
+// be meant.
+func decodeHanded(b []byte) any {
+	const head = handedHead - 2
+	if len(b) < head || len(b) > maxMessage {
+		return nil
+	}
+	be := binary.BigEndian
+	m := handed{Inc: be.Uint32(b), Seq: be.Uint32(b[4:]), Mark: be.Uint16(b[8:]), Plan: b[10], Customer: be.Uint64(b[11:]),
+		First: be.Uint16(b[19:]), Spread: be.Uint16(b[21:]), Store: math.Float32frombits(be.Uint32(b[23:]))}
+	n := int(be.Uint16(b[27:]))
+	if b = b[head:]; len(b) != n*handedSize || !(m.Store >= 0) || m.Spread == 0 { // NaN is neither
+		return nil
+	}
+	for ; len(b) > 0; b = b[handedSize:] {
+		m.Grants = append(m.Grants, handedGrant{be.Uint16(b), be.Uint32(b[2:]), be.Uint16(b[6:]), be.Uint16(b[8:])})
+	}
+	return m
+}
+
+// part is a part on its way.
+type part struct {
+	to    int
+	seq   uint32
+	data  []byte
+	tries int
+	until time.Duration // an acknowledgement is waited for until then
+}
+
+// handKey names a part that was adopted.
+type handKey struct {
+	from     int
+	inc, seq uint32
+}
+
+// onLeaving begins to hand on.
+func (g *Gateway) onLeaving() {
+	g.leaving = true
+	for _, c := range g.ring {
+		if roots, deputy := g.roots(c); g.tree && deputy != g.set.Me && slices.Contains(roots, g.set.Me) {
+			g.handOn(c, deputy, true)
+		}
+	}
+	g.handAgain()
+}
+
+// handOn queues a customer's counts for another gateway.
+func (g *Gateway) handOn(c *customer, to int, grants bool) {
+	if g.advance(c); c.plan.Rate == 0 && len(c.leases) == 0 || c.plan.no >= byte(len(g.tables[0].plans)) ||
+		g.tables[0].plans[c.plan.no] != c.plan.Name {
+		return
+	}
+	m := handed{Inc: g.inc, Mark: g.tables[0].mark, Plan: c.plan.no, Customer: c.key, First: uint16(c.first),
+		Spread: uint16(c.spread), Store: float32(max(0, c.store))}
+	var list []handedGrant
+	for l, v := range c.leases {
+		if left := (v.until - g.now).Milliseconds(); grants && left > 0 {
+			list = append(list, handedGrant{uint16(l.from), l.tag, uint16(v.r.units), uint16(min(left, math.MaxUint16))})
+		}
+	}
+	slices.SortFunc(list, func(a, b handedGrant) int { return cmp.Or(cmp.Compare(a.From, b.From), cmp.Compare(a.Tag, b.Tag)) })
+	for {
+		n := min(len(list), (maxMessage-handedHead)/handedSize)
+		g.handSeq++
+		m.Seq, m.Grants, list = g.handSeq, list[:n], list[n:]
+		g.handing = append(g.handing, &part{to: to, seq: m.Seq, data: m.encode()})
+		if len(list) == 0 {
+			return
+		}
+	}
+}
+
+// handAgain says what is due of the parts, as many at once as the mail of those
+// who take them in bears, and ends when none is left.
+func (g *Gateway) handAgain() {
+	said := 0
+	g.handing = slices.DeleteFunc(g.handing, func(p *part) bool {
+		switch {
+		case g.now < p.until:
+		case p.tries == handTries:
+			return true
+		case said < handAtOnce:
+			said++
+			p.tries++
+			p.until = g.now + max(leastReply, time.Duration(replySpread*float64(g.reply)))
+			g.do(Tell{To: p.to, Data: p.data})
+		}
+		return false
+	})
+	switch {
+	case len(g.handing) > 0:
+		g.do(SetTimer{Token: "hand", After: leastReply})
+	case g.leaving && !g.told:
+		g.told = true
+		g.report() // the last units passed here
+		g.do(Tell{To: -1, Data: encode(leave{g.inc})})
+		g.do(Left{})
+	}
+}
+
+// onHanded takes in a part, once, and says so each time.
+func (g *Gateway) onHanded(from int, m handed) {
+	t := g.known(m.Mark)
+	if g.leaving || !g.tree || t == nil || int(m.Plan) >= len(t.plans) || g.plans[t.plans[m.Plan]] == nil {
+		return
+	}
+	g.do(Tell{To: from, Data: encode(took{m.Inc, m.Seq})})
+	k := handKey{from, m.Inc, m.Seq}
+	if _, twice := g.adopted[k]; twice || len(g.adopted) >= mostAdopted {
+		return
+	}
+	g.adopted[k] = g.now + forgetAfter
+	c := g.customers[m.Customer]
+	if c == nil {
+		c = g.account(m.Customer, g.plans[t.plans[m.Plan]], int(m.First), int(m.Spread))
+	}
+	g.adopt(c, &m)
+}
+
+// grantOf is a grant that was handed on, as if it had been made here.
+func (g *Gateway) grantOf(c *customer, l handedGrant) leased {
+	until := g.now + time.Duration(l.Left)*time.Millisecond
+	return leased{until, &request{c: c, units: float64(l.Units), deadline: until, remote: true, counted: true, over: true,
+		root: int(l.From), tag: l.Tag}}
+}
+
+// onTook notes that a part has come.
+func (g *Gateway) onTook(from int, m took) {
+	if m.Inc != g.inc || len(g.handing) == 0 {
+		return
+	}
+	g.handing = slices.DeleteFunc(g.handing, func(p *part) bool { return p.to == from && p.seq == m.Seq })
+	if len(g.handing) == 0 {
+		g.handAgain()
+	}
+}
+
+// handBack gives a root that is asked again what its deputy counted for it.
+func (g *Gateway) handBack(root int) {
+	for _, c := range g.ring {
+		if c.sums && len(c.ask) > 0 && c.ask[0] == root {
+			g.handOn(c, root, false)
+		}
+	}
+	g.handAgain()
+}
+
+// endTo is who counts a granted attempt: its root, or the deputy that root has
+// handed it to.
+func (g *Gateway) endTo(r *request) int {
+	if c := r.c; len(c.ask) > 0 && r.root == c.ask[0] && g.gone(r.root) {
+		return c.ask[1]
+	}
+	return r.root
+}
+
+// onLeave notes that a gateway ends. What it had out has ended. Its reports are
+// believed again once they are another process's; in a large fleet, where most hear
+// none, all go by the same time, so that they turn to it again together. What it was
+// asked for and has not granted is asked for anew.
+func (g *Gateway) onLeave(from int, m leave) {
+	g.left[from] = g.now + leftFor
+	if p := g.peers[from]; p != nil && (!p.heard || p.inc == m.Inc) {
+		p.left = true
+	}
+	for _, r := range slices.Clone(g.asking) {
+		if r.root == from && !r.over && !r.granted && g.asks[r.tag] == r {
+			g.asking = slices.DeleteFunc(g.asking, func(o *request) bool { return o == r })
+			r.waits = false
+			g.ask(r)
+		}
+	}
+}
+
+// gone tells whether a gateway has told that it ends, a moment ago.
+func (g *Gateway) gone(num int) bool { return g.now < g.left[num] }
+
+// keepTime lets go of what has had its time, and hands back to those who are asked
+// again from now on.
+func (g *Gateway) keepTime() {
+	for num, until := range g.left {
+		if g.now >= until {
+			delete(g.left, num)
+			g.handBack(num)
+		}
+	}
+	for k, until := range g.adopted {
+		if g.now >= until {
+			delete(g.adopted, k)
+		}
+	}
+}
+
+// onFleet takes in the messages that older programs don't know.
+func (g *Gateway) onFleet(from int, m any) {
+	switch m := m.(type) {
+	case markedSight:
+		g.onSight(m.Sight, g.place(m.Sight.Class, true, m.Mark))
+	case markedVerdict:
+		g.onVerdict(m.Verdict, g.placeMask(m.Verdict.Bad, true, m.Mark))
+	case tables:
+		g.onTables(from, m)
+	case leave:
+		g.onLeave(from, m)
+	case handed:
+		g.onHanded(from, m)
+	case took:
+		g.onTook(from, m)
+	}
+}
--- /dev/null
+++ b/policy/handover_test.go
@@ -0,0 +1,259 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func TestHandedRoundTrip(t *testing.T) {
+	m := handed{Inc: 1, Seq: 2, Mark: 3, Plan: 4, Customer: 5, First: 6, Spread: 7, Store: 8.5,
+		Grants: []handedGrant{{9, 10, 11, 12}, {13, 14, 15, 16}}}
+	b := m.encode()
+	if got := decode(b); !reflect.DeepEqual(got, m) {
+		t.Errorf("%+v", got)
+	}
+	for n := range b {
+		if got := decode(b[:n]); got != nil {
+			t.Errorf("%d bytes pass as %+v", n, got)
+		}
+	}
+	m.Store = float32(math.NaN())
+	if decode(m.encode()) != nil {
+		t.Error("a store that is no number passed")
+	}
+	m.Store, m.Grants = 1, make([]handedGrant, (maxMessage-handedHead)/handedSize)
+	if n := len(m.encode()); n > maxMessage || n+handedSize <= maxMessage {
+		t.Errorf("%d bytes when full", n)
+	}
+}
+
+// relay is a fleet in which the root of some customers leaves.
+type relay struct {
+	*crowd
+	rng       *rand.Rand
+	customers []string
+	root      map[string]int
+	deputy    map[string]int
+	member    map[string]int // one that is neither
+	leaver    int
+}
+
+// newRelay brings customers of plan both (10 units a second, 10 at once, 2 out) to
+// the middle of their service: one attempt out that lasts, some units spent.
+func newRelay(t testing.TB, seed uint64, lost float64) *relay {
+	t.Helper()
+	r := &relay{rng: rand.New(rand.NewPCG(seed, 7)), root: map[string]int{}, deputy: map[string]int{}, member: map[string]int{}}
+	r.crowd = newCrowd(t, 60, fleet(40))
+	r.leaver = -1
+	for i := 0; len(r.customers) < 30; i++ {
+		name := fmt.Sprint("k", seed, "-", i)
+		roots, deputy := r.gs[0].roots(&customer{key: keyOf(name), plan: r.gs[0].plans["both"], spread: 60})
+		if r.leaver < 0 {
+			r.leaver = roots[0]
+		}
+		if roots[0] != r.leaver {
+			continue
+		}
+		m := 0
+		for m == roots[0] || m == deputy {
+			m++
+		}
+		r.customers = append(r.customers, name)
+		r.root[name], r.deputy[name], r.member[name] = roots[0], deputy, m
+	}
+	for n, name := range r.customers {
+		r.request(r.member[name], RequestID(n+1), name, "both", "once", 60)
+		r.pass(20*ms, nil)
+	}
+	r.pass(200*ms, nil)
+	r.over = 1 << 30 // attempts last from now on
+	for n, name := range r.customers {
+		r.request(r.member[name], RequestID(1000+n), name, "both", "once", 60)
+	}
+	r.pass(200*ms, nil)
+	r.lose = func(int, int) bool { return r.rng.Float64() < lost }
+	return r
+}
+
+// leave has the root go, as a planned stop does, or just fall silent.
+func (r *relay) leave(told bool) {
+	dead := false
+	lose := r.lose
+	r.lose = func(from, to int) bool { return dead && (from == r.leaver || to == r.leaver) || lose(from, to) }
+	if told {
+		r.do(r.leaver, Leave{})
+		for i := 0; i < 100 && !r.gs[r.leaver].told; i++ {
+			r.pass(10*ms, nil)
+		}
+		r.pass(30*ms, nil)
+	}
+	dead = true
+}
+
+// right counts the customers whose deputy has their counts as the root had them.
+func (r *relay) right() (n int) {
+	for _, name := range r.customers {
+		was, c := r.gs[r.leaver].customers[keyOf(name)], r.gs[r.deputy[name]].customers[keyOf(name)]
+		if c != nil && c.out == was.out && c.store <= was.store+1 {
+			n++
+		}
+	}
+	return n
+}
+
+// What a root counts is its deputy's once it has left: attempts out, so that the
+// cap holds, and the store; ends are told there, and free the place.
+func TestRootHandsOn(t *testing.T) {
+	for seed := range uint64(10) {
+		r := newRelay(t, seed, 0)
+		for _, name := range r.customers {
+			if c := r.gs[r.leaver].customers[keyOf(name)]; c == nil || c.out != 1 {
+				t.Fatalf("seed %d: %s at its root: %+v", seed, name, c)
+			}
+		}
+		r.leave(true)
+		if n := r.right(); n != len(r.customers) {
+			t.Fatalf("seed %d: %d of %d customers right", seed, n, len(r.customers))
+		}
+		// The cap of two has one place left.
+		before := len(r.sends)
+		name := r.customers[0]
+		for i := range 4 {
+			r.request(r.member[name], RequestID(2000+i), name, "both", "once", 60)
+		}
+		r.pass(100*ms, nil)
+		if n := len(r.sends) - before; n != 1 {
+			t.Errorf("seed %d: %d sent on, one place was left", seed, n)
+		}
+		for i, s := range r.sends {
+			if s.ID >= 1000 {
+				r.do(r.from[i], Outcome{ID: s.ID, Server: s.Server, Code: OK, Latency: 50 * ms, Over: true})
+			}
+		}
+		r.pass(400*ms, nil)
+		if c := r.gs[r.deputy[name]].customers[keyOf(name)]; c.out-len(c.held) > 2 || c.out == 2 && len(r.sends) < before+3 {
+			t.Errorf("seed %d: %d out after the ends were told", seed, c.out)
+		}
+	}
+}
+
+// Whatever is lost, late, twice or out of order: no store grows by a hand-over, no
+// attempt is counted twice, and none longer than its client waits.
+func TestHandOverModel(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 8))
+		r := newRelay(t, seed, rng.Float64()*0.5)
+		// Some messages come twice, some late.
+		lose := r.lose
+		r.lose = func(from, to int) bool {
+			if rng.IntN(4) == 0 && len(r.mail) > 0 {
+				again := r.mail[rng.IntN(len(r.mail))]
+				r.mail = append(r.mail, again)
+			}
+			return lose(from, to)
+		}
+		total := map[string]float64{}
+		outs := map[string]int{}
+		for _, name := range r.customers {
+			c := r.gs[r.leaver].customers[keyOf(name)]
+			r.gs[r.leaver].advance(c)
+			total[name], outs[name] = c.store, c.out
+		}
+		at := r.now
+		r.leave(true)
+		check := func(when string) {
+			for _, name := range r.customers {
+				c := r.gs[r.deputy[name]].customers[keyOf(name)]
+				if c == nil {
+					continue
+				}
+				if most := total[name] + 10*(r.now-at).Seconds() + 0.1; c.sums && len(c.leases) > 0 && c.store > most {
+					t.Fatalf("seed %d, %s: a store of %.1f, the root had %.1f", seed, when, c.store, total[name])
+				}
+				if c.out != len(c.leases) || c.out > outs[name] {
+					t.Fatalf("seed %d, %s: %d out, %d leases, the root counted %d", seed, when, c.out, len(c.leases), outs[name])
+				}
+			}
+		}
+		check("at take-over")
+		r.pass(300*ms, nil)
+		check("later")
+		r.pass(2500*ms, nil) // their clients have given up
+		for _, name := range r.customers {
+			if c := r.gs[r.deputy[name]].customers[keyOf(name)]; c != nil && c.out > 0 {
+				t.Fatalf("seed %d: %d out though no client waits", seed, c.out)
+			}
+		}
+	}
+}
+
+// Once all turn to the root again its new process has what the deputy counted.
+func TestDeputyHandsBack(t *testing.T) {
+	r := newRelay(t, 1, 0)
+	r.leave(true)
+	s := base()
+	s.Me, s.Gateways = r.leaver, 60
+	g, err := New(s, 99)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.gs[r.leaver] = g
+	r.lose = func(int, int) bool { return false }
+	r.do(r.leaver, Members{Kind: Remembered, Servers: fleet(40)})
+	name := r.customers[0]
+	for i := range 8 { // spent at the deputy meanwhile
+		r.request(r.member[name], RequestID(3000+i), name, "both", "safe", 60)
+		r.pass(200*ms, nil)
+	}
+	c := r.gs[r.deputy[name]].customers[keyOf(name)]
+	r.gs[r.deputy[name]].advance(c)
+	c.store = 3
+	r.pass(leftFor-1600*ms+300*ms, nil)
+	back := r.gs[r.leaver].customers[keyOf(name)]
+	if back == nil || back.store > 3+10*0.7 { // filled since; one that knew nothing has more
+		t.Fatalf("%+v", back)
+	}
+	if len(r.gs[r.leaver].customers) < len(r.customers) {
+		t.Errorf("%d of %d customers are back", len(r.gs[r.leaver].customers), len(r.customers))
+	}
+}
+
+// A deputy that leaves too, or is dead, holds nobody up: parts are said so often
+// and no more, and then the leaver goes.
+func TestHandOverToNobody(t *testing.T) {
+	r := newRelay(t, 2, 0)
+	r.lose = func(from, to int) bool { return from == r.leaver }
+	r.told = 0
+	r.do(r.leaver, Leave{})
+	for i := 0; i < 300 && !r.gs[r.leaver].told; i++ {
+		r.pass(10*ms, nil)
+	}
+	if g := r.gs[r.leaver]; !g.told || len(g.handing) > 0 || r.now > 30*time.Second {
+		t.Errorf("told %v, %d parts left", g.told, len(g.handing))
+	}
+}
+
+// BenchmarkHandOver tells how many customers' counts a deputy has right at
+// take-over, and the messages that it takes, with and without handing on.
+func BenchmarkHandOver(b *testing.B) {
+	for _, told := range []bool{false, true} {
+		for _, lost := range []float64{0, 0.05, 0.2} {
+			b.Run(fmt.Sprintf("handed on %v/lost %v", told, lost), func(b *testing.B) {
+				right, all, msgs := 0, 0, 0
+				for i := range b.N {
+					r := newRelay(b, uint64(i), lost)
+					before := r.crowd.told
+					r.leave(told)
+					msgs += r.crowd.told - before
+					right, all = right+r.right(), all+len(r.customers)
+				}
+				b.ReportMetric(100*float64(right)/float64(all), "%right")
+				b.ReportMetric(float64(msgs)/float64(all), "messages/customer")
+			})
+		}
+	}
+}
--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -7,7 +7,7 @@
 
 // crowd drives hundreds of gateways by hand, a message taking 20 ms.
 type crowd struct {
-	t    *testing.T
+	t    testing.TB
 	now  time.Duration
 	gs   []*Gateway
 	mail []letter
@@ -27,7 +27,7 @@
 	data     []byte
 }
 
-func newCrowd(t *testing.T, n int, servers []Server) *crowd {
+func newCrowd(t testing.TB, n int, servers []Server) *crowd {
 	t.Helper()
 	c := &crowd{t: t, now: 10 * time.Second, lose: func(int, int) bool { return false }}
 	for i := range n {
@@ -79,6 +79,7 @@
 		}
 		for i := range c.gs {
 			c.do(i, Timer{Token: "ask"})
+			c.do(i, Timer{Token: "hand"})
 			if (c.now/ms/10+time.Duration(i))%25 == 0 {
 				c.do(i, Timer{Token: "tick"})
 			}
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -81,6 +81,8 @@
 		kind = 7
 	case leave:
 		kind = 8
+	case took:
+		kind = 10
 	}
 	b, err := binary.Append([]byte{shortVersion, kind}, binary.BigEndian, m)
 	if err != nil {
@@ -116,6 +118,10 @@
 		return fixed[markedVerdict](b[2:])
 	case 8:
 		return fixed[leave](b[2:])
+	case handedKind:
+		return decodeHanded(b[2:])
+	case 10:
+		return fixed[took](b[2:])
 	}
 	return nil
 }
@@ -152,19 +158,6 @@
 	g.release(c)
 }
 
-// onLeave notes that a gateway ends. What it had out has ended. Its reports are
-// believed again once they are another process's; in a large fleet, where most hear
-// none, all go by the same time, so that they turn to it again together.
-func (g *Gateway) onLeave(from int, m leave) {
-	g.left[from] = g.now + leftFor
-	if p := g.peers[from]; p != nil && (!p.heard || p.inc == m.Inc) {
-		p.left = true
-	}
-}
-
-// gone tells whether a gateway has told that it ends, a moment ago.
-func (g *Gateway) gone(num int) bool { return g.now < g.left[num] }
-
 func (g *Gateway) record(s *server, cl *class) *record {
 	if cl.no < 0 || cl.no >= len(s.by) || cl.Name == "" {
 		return nil
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,8 +15,7 @@
 	"time"
 )
 
-// Tuned values. None is fitted to a deployment: they are shares, counts of
-// ticks, or times that people and networks set.
+// Tuned values: shares, counts of ticks, and times that people and networks set.
 const (
 	mailShare        = 0.75 // part of a gateway's mail intake that reports may fill
 	minTick, maxTick = 25 * time.Millisecond, 250 * time.Millisecond
@@ -165,9 +164,8 @@
 	}
 }
 
-// carry takes a customer over to new figures of its plan. That fills no store:
-// what is in it stays, cut to the new burst. Only a plan that had no rate had
-// none, and one begins full.
+// carry takes a customer over to new figures of its plan. That cuts a store and
+// fills none, but that of a plan that had no rate: it had none, and one begins full.
 func (g *Gateway) carry(c *customer, old Plan) {
 	g.seat(c)
 	if old.Rate == 0 && c.plan.Rate > 0 {
@@ -293,6 +291,17 @@
 	return out, held
 }
 
+// adopt takes over a root's counts. What its store held fills none here.
+func (g *Gateway) adopt(c *customer, m *handed) {
+	g.advance(c)
+	c.store, c.sums, c.seen = min(c.store, float64(m.Store)), true, g.now
+	for _, l := range m.Grants {
+		n := len(c.leases)
+		c.leases[lease{int(l.From), l.Tag}] = g.grantOf(c, l)
+		c.count(g.now, len(c.leases)-n)
+	}
+}
+
 // room tells whether one more attempt of the customer fits under its cap.
 // An arrival stays under its demand-split part, at least one.
 func (g *Gateway) room(c *customer, arrival bool) bool {
@@ -489,9 +498,7 @@
 }
 
 // load is the attempts out at a server: own, and the peers' as last reported.
-func (g *Gateway) load(s *server) float64 {
-	return float64(s.out) + s.heard
-}
+func (g *Gateway) load(s *server) float64 { return float64(s.out) + s.heard }
 
 // predict is the latency in seconds expected of a server for a class.
 func (g *Gateway) predict(s *server, cl *class) float64 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -208,9 +207,14 @@
 	hinted    []int          // gateways told of the tables here since the last tick
 
 	left     map[int]time.Duration // gateways that have told that they end: until when they count as gone
-	restored bool                  // it was told of the time before its start,
-	clean    bool                  // and of all that was let in then
-	kept     map[uint64]float64    // stores, as they were so long before the start
+	leaving  bool                  // it ends, and hands its counts on
+	told     bool                  // and has told so
+	handing  []*part               // on their way
+	handSeq  uint32
+	adopted  map[handKey]time.Duration // parts that have come: until when that is remembered
+	restored bool                      // it was told of the time before its start,
+	clean    bool                      // and of all that was let in then
+	kept     map[uint64]float64        // stores, as they were so long before the start
 	keptFor  time.Duration
 
 	lapsedClasses map[string]*class // of the generation before, gone from the newest
@@ -262,7 +266,7 @@
 // measure takes each customer's mean of attempts out over a tick.
 func (g *Gateway) measure(dt time.Duration) {
 	g.hinted = g.hinted[:0]
-	maps.DeleteFunc(g.left, func(_ int, until time.Duration) bool { return g.now >= until })
+	g.keepTime()
 	for _, c := range g.ring {
 		c.expire(g.now)
 		c.count(g.now, 0)
@@ -382,7 +386,7 @@
 		asks:   map[uint32]*request{},
 		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{}}
 	g.inc = g.rng.Uint32()
-	g.tables, g.left = []*table{newTable(&s)}, map[int]time.Duration{}
+	g.tables, g.left, g.adopted = []*table{newTable(&s)}, map[int]time.Duration{}, map[handKey]time.Duration{}
 	for i, p := range s.Plans {
 		g.plans[p.Name] = &quota{p, byte(i)}
 	}
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -115,6 +115,9 @@
 // meant gives the plan and class that a gateway asks for; nil: it can't be told,
 // and that gateway is told why.
 func (g *Gateway) meant(from int, m *ask) (*quota, *class) {
+	if g.leaving {
+		return nil, nil // its counts are another's by now
+	}
 	mark, marked := tagMark(m.Tag)
 	t := g.tables[0]
 	if marked {
--- a/policy/tables_test.go
+++ b/policy/tables_test.go
@@ -321,6 +321,10 @@
 	f.Add(encode(tables{1}))
 	f.Add(encode(markedVerdict{1, verdict{Server: 1, Bad: 255, Pace: 255}}))
 	f.Add(encode(markedSight{1, sight{Server: 1, Class: 255, Code: 255}}))
+	s := base()
+	f.Add((&handed{Mark: newTable(&s).mark, Plan: 1, Spread: 9, Store: 3, Grants: []handedGrant{{1, 2, 3, 4}}}).encode())
+	f.Add(encode(took{1, 2}))
+	f.Add(encode(leave{1}))
 	f.Add((&report{inc: 1, customers: []entry{{hash: 1}}}).encode())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := base()
