--- a/cmd/machine/machine_test.go
+++ b/cmd/machine/machine_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -67,6 +68,17 @@
 	cmd    *exec.Cmd
 	log    *log
 	id     atomic.Int64
+
+	out  atomic.Int64 // requests under a cap at lending servers
+	most peak
+}
+
+// peak is the highest figure seen.
+type peak struct{ atomic.Int64 }
+
+func (p *peak) observe(v int64) {
+	for was := p.Load(); v > was && !p.CompareAndSwap(was, v); was = p.Load() {
+	}
 }
 
 // programs builds both, once.
@@ -91,6 +103,13 @@
 }
 
 func newSite(t *testing.T, n int) *site {
+	t.Helper()
+	return siteWith(t, n, 100)
+}
+
+// siteWith is a machine whose edge nodes take in so many datagrams a second: few
+// make a large fleet of a few.
+func siteWith(t *testing.T, n, mail int) *site {
 	t.Helper()
 	bin, err := programs()
 	if err != nil {
@@ -101,6 +120,11 @@
 		id := r.Header.Get("X-Request-Id")
 		c, _ := s.ran.LoadOrStore(id, new(atomic.Int32))
 		c.(*atomic.Int32).Add(1)
+		if strings.HasPrefix(id, "u-") {
+			s.most.observe(s.out.Add(1))
+			defer s.out.Add(-1)
+			time.Sleep(200 * time.Millisecond) // so that one is out when a root leaves
+		}
 		time.Sleep(10 * time.Millisecond)
 		io.WriteString(w, id)
 	}))
@@ -139,9 +163,10 @@
 			"limits":{"cores":1,"memory_mb":64,"sockets":256},
 			"settings":{"me":%d,"balancers":%d,"zone":"a","tick_ms":2,"discovery":"push",
 			"caps":{"max_attempts":6,"cancel":true,"peers":true,"retry_after":true,"max_retry_after_ms":1000,"dial_timeout_ms":250,"conn_idle_ms":15000},
-			"family_info":{"largest":6,"mail_per_s":100},"rules":{"drain_grace_ms":2000},
+			"family_info":{"largest":6,"mail_per_s":%d},"rules":{"drain_grace_ms":2000},
 			"classes":[{"name":"perpanjang","aim_ms":5000,"hard_limit_ms":10000,"semantics":"once"}],
-			"plans":[{"name":"dasar"}]}}`, i, s.addrs[i], s.disc.Listener.Addr(), i+1, peers[i], strings.Join(peers, `","`), i, n))
+			"plans":[{"name":"dasar"},{"name":"utama","parallel":2}]}}`, i, s.addrs[i], s.disc.Listener.Addr(), i+1, peers[i],
+			strings.Join(peers, `","`), i, n, mail))
 	}
 	return s
 }
@@ -395,6 +420,86 @@
 	t.Log(line)
 }
 
+// In a large fleet a customer's cap holds while its root leaves, and the others go
+// on serving it.
+func TestCapHoldsWhileItsRootLeaves(t *testing.T) {
+	const customer = "0000000000000007"
+	s := siteWith(t, 8, 4)
+	s.start()
+	h := fnv.New64a() // as the module finds a customer's root: here the first to leave
+	io.WriteString(h, customer)
+	first := (8 - int(h.Sum64()>>33%8)) % 8
+	done, errs := make(chan struct{}), make(chan string, 100)
+	var wg sync.WaitGroup
+	var served atomic.Int64
+	for i := 1; i < 8; i++ {
+		for range 2 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				client := http.Client{Transport: &http.Transport{}}
+				defer client.CloseIdleConnections()
+				for {
+					select {
+					case <-done:
+						return
+					default:
+					}
+					r, err := http.NewRequest("POST", "http://"+s.addrs[i]+"/perpanjang", nil)
+					if err != nil {
+						errs <- err.Error()
+						return
+					}
+					for k, v := range map[string]string{"X-Request-Id": fmt.Sprintf("u-%x", s.id.Add(1)), "X-Class": "perpanjang",
+						"X-Tier": "utama", "Cookie": "key=" + customer, "X-Deadline-Ms": "10000", "X-Call-Terms": fmt.Sprint("units=1,spread=8,first=", first)} {
+						r.Header.Set(k, v)
+					}
+					resp, err := client.Do(r)
+					if err != nil {
+						errs <- err.Error()
+						return
+					}
+					resp.Body.Close()
+					switch resp.StatusCode {
+					case 200:
+						served.Add(1)
+					case 429: // the cap
+					default:
+						errs <- resp.Status
+						return
+					}
+				}
+			}()
+		}
+	}
+	more := func(n int64) {
+		t.Helper()
+		from := served.Load()
+		eventually(t, "further requests served", func() bool { return served.Load() >= from+n })
+	}
+	more(10)
+	if err := os.Remove(s.file(0)); err != nil {
+		t.Fatal(err)
+	}
+	s.signal(syscall.SIGHUP)
+	eventually(t, "the root's end", func() bool { return strings.Contains(s.log.String(), `ended "edge node"=n0 how="exit status 0"`) })
+	more(12) // beyond the time after which all look for it again
+	close(done)
+	wg.Wait()
+	close(errs)
+	for e := range errs {
+		t.Error(e)
+	}
+	if n := s.most.Load(); n > 2 {
+		t.Errorf("%d out at once under a cap of 2", n)
+	}
+	s.signal(syscall.SIGTERM)
+	if code, line := s.end(); code != 0 {
+		t.Error(line)
+	}
+	t.Logf("%d served, at most %d out at once", served.Load(), s.most.Load())
+}
+
 // Machines of eight edge nodes drain under load and lose nothing.
 func TestDrainsOfMachines(t *testing.T) {
 	var took []string
