--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -285,7 +285,7 @@
 	}
 	switch {
 	case m.Kind == Release:
-		d.promised = max(d.promised, m.Ballot+1) // what it asked before may come behind
+		d.promised = max(d.promised, m.Ballot+1)                         // what it asked before may come behind
 		if d.granted != 0 && d.holder == from && d.granted <= m.Ballot { // it may have begun a further round
 			d.granted = 0
 			d.retry = min(d.retry, now+d.jitter(replyWait)) // it is free
