Have a deputy count and end its own attempts itself when a root hands over

A deputy's own clients have attempts that the root granted. Handed over, such an attempt counted twice there (adopt() took the grant, sent() had counted the attempt), and its end was told by a datagram to itself, which onPeer passes over: the place stayed taken until the client would have given up. Seen when the datagrams of a roll were counted ('gateway 38 tells 38 15 bytes').

--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -125,9 +125,7 @@
 	// A grant may still be on its way here, or the request held at the root.
 	if r.asked > 0 && (r.c.plan.Open > 0 || !r.counted) {
 		r.asked = 0
-		end := Tell{To: g.endTo(r), Data: encode(ended{r.c.key, r.tag, !r.counted})}
-		g.do(end)
-		g.ends = append(g.ends, end)
+		g.tellEnd(r, ended{r.c.key, r.tag, !r.counted})
 	}
 }
 
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -185,6 +185,7 @@
 	if c == nil {
 		c = g.account(m.Customer, g.plans[t.plans[m.Plan]], int(m.First), int(m.Spread))
 	}
+	m.Grants = slices.DeleteFunc(m.Grants, func(l handedGrant) bool { return int(l.From) == g.set.Me }) // counted as its own
 	g.adopt(c, &m)
 }
 
@@ -216,13 +217,20 @@
 	g.handAgain()
 }
 
-// endTo is who counts a granted attempt: its root, or the deputy that root has
-// handed it to.
-func (g *Gateway) endTo(r *request) int {
-	if c := r.c; len(c.ask) > 0 && r.root == c.ask[0] && g.gone(r.root) {
-		return c.ask[1]
+// tellEnd tells of the end of a granted attempt who counts it: its root, or the
+// deputy that root has handed it to, which may be this gateway.
+func (g *Gateway) tellEnd(r *request, m ended) {
+	to := r.root
+	if c := r.c; len(c.ask) > 0 && to == c.ask[0] && g.gone(to) {
+		to = c.ask[1]
 	}
-	return r.root
+	if to == g.set.Me {
+		g.onEnded(to, m)
+		return
+	}
+	end := Tell{To: to, Data: encode(m)}
+	g.do(end)
+	g.ends = append(g.ends, end)
 }
 
 // onLeave notes that a gateway ends. What it had out has ended. Its reports are
--- a/policy/handover_test.go
+++ b/policy/handover_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -257,3 +258,71 @@
 		}
 	}
 }
+
+// BenchmarkRoll tells the datagrams a second that an edge node of 300 takes in: idle,
+// with 2 requests a second at each, and in the second in which 30 of them leave.
+func BenchmarkRoll(b *testing.B) {
+	median := map[string][]float64{}
+	worst := map[string]float64{}
+	for i := range b.N {
+		w := newCrowd(b, 300, fleet(200))
+		rng, id := rand.New(rand.NewPCG(uint64(i), 4)), RequestID(0)
+		busy := func(time.Duration) {
+			for range 6 { // in each hundredth of a second
+				id++
+				k := rng.IntN(1000)
+				from := (k*7 + rng.IntN(4)) % 300
+				if w.gs[from] == nil || w.gs[from].leaving {
+					continue
+				}
+				w.do(from, Request{ID: id, Customer: fmt.Sprint(k), Plan: []string{"rate", "both"}[k%2], Class: "once", Units: 1,
+					Remaining: 2 * time.Second, First: k * 7 % 300, Spread: 4})
+			}
+		}
+		second := func(name string, step func(time.Duration)) {
+			clear(w.got)
+			w.pass(time.Second, step)
+			got := slices.Sorted(slices.Values(w.got))
+			median[name] = append(median[name], float64(got[len(got)/2]))
+			worst[name] = max(worst[name], float64(got[len(got)-1]))
+		}
+		second("idle", nil)
+		w.pass(2*time.Second, busy)
+		second("busy", busy)
+		clear(w.got)
+		for n := range 30 {
+			w.do(n*10, Leave{})
+		}
+		w.pass(time.Second, busy)
+		all := slices.Sorted(slices.Values(w.got))
+		median["roll"] = append(median["roll"], float64(all[len(all)/2]))
+		worst["roll"] = max(worst["roll"], float64(all[len(all)-1]))
+	}
+	for _, name := range []string{"idle", "busy", "roll"} {
+		slices.Sort(median[name])
+		b.ReportMetric(median[name][len(median[name])/2], name+"-median/s")
+		b.ReportMetric(worst[name], name+"-worst/s")
+	}
+}
+
+// A deputy has requests of its own clients that the root granted: they count once
+// when the root hands its counts on, and it tells itself nothing of their ends.
+func TestDeputysOwnAttempts(t *testing.T) {
+	r := newRelay(t, 4, 0)
+	name := r.customers[0]
+	d := r.deputy[name]
+	r.request(d, 5000, name, "both", "once", 60)
+	r.pass(100*ms, nil)
+	if n := len(r.sends); r.sends[n-1].ID != 5000 || r.from[n-1] != d {
+		t.Fatal("not granted")
+	}
+	r.leave(true)
+	c := r.gs[d].customers[keyOf(name)]
+	if c.out != 2 || len(c.leases) != 1 { // its own attempt, and another's
+		t.Fatalf("%d out, %d leases", c.out, len(c.leases))
+	}
+	r.do(d, Outcome{ID: 5000, Server: r.sends[len(r.sends)-1].Server, Code: OK, Latency: 50 * ms, Over: true})
+	if c.out != 1 || len(c.leases) != 1 {
+		t.Errorf("%d out, %d leases after the end of its own attempt", c.out, len(c.leases))
+	}
+}
--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -13,7 +13,8 @@
 	mail []letter
 	lose func(from, to int) bool
 
-	told   int // messages, by receiver
+	told   int   // messages, by receiver
+	got    []int // the same for each
 	sends  []Send
 	from   []int
 	sentAt []time.Duration
@@ -29,7 +30,7 @@
 
 func newCrowd(t testing.TB, n int, servers []Server) *crowd {
 	t.Helper()
-	c := &crowd{t: t, now: 10 * time.Second, lose: func(int, int) bool { return false }}
+	c := &crowd{t: t, now: 10 * time.Second, got: make([]int, n), lose: func(int, int) bool { return false }}
 	for i := range n {
 		s := base()
 		s.Me, s.Gateways = i, n
@@ -53,6 +54,7 @@
 			for to := range c.gs {
 				if to == a.To || a.To < 0 && to != i {
 					c.told++
+					c.got[to]++
 					if !c.lose(i, to) {
 						c.mail = append(c.mail, letter{c.now + 20*ms, i, to, a.Data})
 					}
