Read this program's own fields from its own object alone, and bear all the platform adds

The names admin, state_dir, duties and GW_STATE_DIR still counted where the platform's value happened to be usable: its admin address on 127.x would have been opened, its state_dir written to (internal/config/own.go, borne). They are read from the object "valvering" and from VALVERING_STATE_DIR only; one warning names the new place.

Lines are counted and passed over now; a list with lines of which none can be used is still refused.

--- a/cmd/machine/main.go
+++ b/cmd/machine/main.go
@@ -199,7 +199,9 @@
 // start runs an edge node. One that can't be started counts as crashed.
 func (m *machine) start(name string) {
 	cmd := exec.Command(m.program)
-	cmd.Env = slices.DeleteFunc(os.Environ(), func(v string) bool { return strings.HasPrefix(v, "GW_") })
+	cmd.Env = slices.DeleteFunc(os.Environ(), func(v string) bool {
+		return strings.HasPrefix(v, "GW_") || strings.HasPrefix(v, "VALVERING_")
+	})
 	cmd.Env = append(cmd.Env, "GW_CONFIG="+filepath.Join(m.folder, name+".json"))
 	out := &prefixed{m: m, name: name}
 	cmd.Stdout, cmd.Stderr = out, out
--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -36,8 +36,8 @@
 const usage = `usage: pepperfall             serve, with the configuration file that GW_CONFIG names
        pepperfall check FILE  tell every fault in a configuration file
 
-check ends with 0 if the file can be used and with 2 if not. The GW_ variables
-count for it as they do at a start; a fault in a field that they set is theirs.
+check ends with 0 if the file can be used and with 2 if not. The GW_ and VALVERING_
+variables count for it as they do at a start; a fault in a field that they set is theirs.
 `
 
 func main() { os.Exit(start(os.Args[1:], os.Stdout, os.Stderr)) }
@@ -86,7 +86,7 @@
 // names a state directory. A directory that can't be used is no reason not to
 // serve: the edge node starts without it.
 func recall(src config.Source) (*config.History, *node.Kept, error) {
-	path, name := src.Getenv("GW_STATE_DIR"), src.Getenv("GW_NAME")
+	path, name := src.Getenv(config.StateDirEnv), src.Getenv("GW_NAME")
 	if f, _, err := src.Load(); err == nil {
 		path, name = f.StateDir, f.Name
 	}
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -105,8 +105,30 @@
 	return ReadFile(s.Path())
 }
 
-// ReadFile reads a configuration file of bounded size.
+// readWait is how long a file may take to be read: a disk may hang, and a pipe stay
+// silent.
+const readWait = 10 * time.Second
+
+// ReadFile reads a configuration file of bounded size, in bounded time.
 func ReadFile(path string) ([]byte, error) {
+	type file struct {
+		data []byte
+		err  error
+	}
+	read := make(chan file, 1)
+	go func() {
+		data, err := readAll(path)
+		read <- file{data, err}
+	}()
+	select {
+	case f := <-read:
+		return f.data, f.err
+	case <-time.After(readWait):
+		return nil, Faults{{"file", fmt.Sprintf("not read within %v", readWait)}}
+	}
+}
+
+func readAll(path string) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
@@ -171,8 +193,23 @@
 	return true
 }
 
-// Parse checks a file whole. The GW_ variables, where set, go before what it
-// holds. The error is ErrUnreadable for what is no JSON object, or else Faults.
+// within is a parser for the object that a field holds. By their very names: the
+// standard decoder takes others that differ in case for a struct's.
+func (p *parser) within(name string) *parser {
+	in := &parser{}
+	p.field(name, &in.top)
+	return in
+}
+
+// take takes over what a parser for a field's object found.
+func (p *parser) take(in *parser, name string) {
+	for _, f := range in.faults {
+		p.fault(name+"."+f.Field, "%s", f.What)
+	}
+}
+
+// Parse checks a file whole. The platform's variables (GW_) and this program's own
+// (VALVERING_), where set, go before what it holds. The error is ErrUnreadable for what is no JSON object, or else Faults.
 func (s Source) Parse(data []byte) (*File, error) {
 	p := &parser{}
 	if err := json.Unmarshal(data, &p.top); err != nil || p.top == nil {
@@ -203,24 +240,23 @@
 	}
 	var seed, all string
 	var peers []string
-	var limits struct {
-		MemoryMB float64 `json:"memory_mb"`
-		Sockets  float64 `json:"sockets"`
-	}
+	limits := p.within("limits")
+	var memory, sockets float64
 	p.field("seed", &seed)
 	p.field("peers", &peers)
 	p.field("peers_all", &all)
-	p.field("limits", &limits)
+	limits.field("memory_mb", &memory)
+	limits.field("sockets", &sockets)
+	p.take(limits, "limits")
 	c.Seed = seedOf(seed)
 
-	p.need(limits.MemoryMB >= 0 && limits.MemoryMB <= mostMemoryMB, "limits.memory_mb", "%g is out of range", limits.MemoryMB)
-	if limits.Sockets == 0 {
-		limits.Sockets = defaultSockets
+	p.need(memory >= 0 && memory <= mostMemoryMB, "limits.memory_mb", "%g is out of range", memory)
+	if sockets == 0 {
+		sockets = defaultSockets
 	}
-	p.need(limits.Sockets >= leastSockets && limits.Sockets <= mostSockets, "limits.sockets",
-		"%g is not from %d to %d", limits.Sockets, leastSockets, mostSockets)
+	p.need(sockets >= leastSockets && sockets <= mostSockets, "limits.sockets", "%g is not from %d to %d", sockets, leastSockets, mostSockets)
 	if len(p.faults) == 0 {
-		c.MemoryMB, c.Sockets = int(limits.MemoryMB), int(limits.Sockets)
+		c.MemoryMB, c.Sockets = int(memory), int(sockets)
 	}
 	for _, a := range [][2]string{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if _, _, err := net.SplitHostPort(a[1]); err != nil {
@@ -244,13 +280,12 @@
 		return
 	}
 	var l *roster.List
-	err := json.Unmarshal(raw, &l)
-	if err == nil && l != nil {
-		err = l.Check()
-	}
-	if err != nil {
+	switch err := json.Unmarshal(raw, &l); {
+	case err != nil:
 		c.Warnings = append(c.Warnings, "known list passed over: "+err.Error())
 		return
+	case l != nil && l.Bad > 0:
+		c.Warnings = append(c.Warnings, fmt.Sprintf("known list: %d lines passed over, the first: %v", l.Bad, l.BadWhy))
 	}
 	c.Known = l
 }
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -227,9 +227,9 @@
 	same(a.PeerListen == b.PeerListen, "peer_listen", a.PeerListen, b.PeerListen)
 	same(slices.Equal(a.Peers, b.Peers), "peers", fmt.Sprintf("%d addresses", len(a.Peers)), "others")
 	same(a.PeersAll == b.PeersAll, "peers_all", a.PeersAll, b.PeersAll)
-	same(a.Admin == b.Admin, "admin", a.Admin, b.Admin)
-	same(slices.Equal(a.Duties, b.Duties), "duties", a.Duties, b.Duties)
-	same(a.StateDir == b.StateDir, "state_dir", a.StateDir, b.StateDir)
+	same(a.Admin == b.Admin, ownObject+".admin", a.Admin, b.Admin)
+	same(slices.Equal(a.Duties, b.Duties), ownObject+".duties", a.Duties, b.Duties)
+	same(a.StateDir == b.StateDir, ownObject+".state_dir", a.StateDir, b.StateDir)
 	s, t := &a.Settings, &b.Settings
 	same(s.Me == t.Me, "settings.me", s.Me, t.Me)
 	same(s.Gateways == t.Gateways, "settings.balancers", s.Gateways, t.Gateways)
--- a/internal/config/own.go
+++ b/internal/config/own.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strings"
 )
 
 // ownObject holds the fields that are this program's own: the file is the
@@ -17,62 +18,60 @@
 
 var dutyName = regexp.MustCompile(`^[A-Za-z0-9_-]{1,40}$`)
 
-// ownField is one of this program's own fields.
+// ownField is one of this program's own fields. The environment's value, where there
+// is one, goes before the file's.
 type ownField struct {
 	name, env string
 	take      func(p *parser, name string) // notes faults, or sets the field
 }
 
-// own takes this program's fields. In their object each fault counts. They used to
-// stand among the platform's fields, and still may: there, and in the environment,
-// a value that can't be used is one of the platform's that happens to bear the
-// name, and is passed over like all that it adds.
+// StateDirEnv is the environment variable that goes before state_dir.
+const StateDirEnv = "VALVERING_STATE_DIR"
+
+// formerEnv is what it was called before, among the platform's.
+const formerEnv = "GW_STATE_DIR"
+
+// own takes this program's fields from their object and from its own environment
+// variables alone. Each fault in them counts. They used to stand among the platform's
+// fields: whatever has such a name there is the platform's own and is not looked at,
+// and one warning tells where this program's are.
 //
 // mayTell says whether edge nodes may send each other messages, as far as is known.
 func (p *parser) own(c *File, getenv func(string) string, mayTell bool) {
-	within := &parser{}
-	p.field(ownObject, &within.top)
+	within := p.within(ownObject)
 	fields := []ownField{
 		{"admin", "", c.takeAdmin},
-		{"state_dir", "GW_STATE_DIR", c.takeStateDir},
+		{"state_dir", StateDirEnv, c.takeStateDir},
 		{"duties", "", func(p *parser, name string) { c.takeDuties(p, name, mayTell) }},
 	}
+	var former []string
 	for _, f := range fields {
+		if _, have := p.top[f.name]; have {
+			former = append(former, f.name)
+		}
 		if text := getenv(f.env); f.env != "" && text != "" {
 			raw, _ := json.Marshal(text) // a string can't fail
-			if c.borne(f, raw, f.env) {
-				continue
-			}
-		}
-		if _, have := within.top[f.name]; have {
-			f.take(within, f.name)
-		} else {
-			c.borne(f, p.top[f.name], f.name)
+			set := &parser{top: rawFields{f.env: raw}}
+			f.take(set, f.env)
+			p.faults = append(p.faults, set.faults...)
+			continue
 		}
+		f.take(within, f.name)
 	}
-	for _, fault := range within.faults {
-		p.fault(ownObject+"."+fault.Field, "%s", fault.What)
-	}
+	p.take(within, ownObject)
 	for name := range within.top { // a newer program's
 		if !slices.ContainsFunc(fields, func(f ownField) bool { return f.name == name }) {
 			c.Warnings = append(c.Warnings, ownObject+"."+name+": not known here, passed over")
 		}
 	}
 	slices.Sort(c.Warnings)
-}
-
-// borne takes a field from where the platform has its own; it tells whether there
-// was one to take.
-func (c *File) borne(f ownField, raw json.RawMessage, at string) bool {
-	from := &parser{top: rawFields{f.name: raw}}
-	if f.take(from, f.name); len(from.faults) == 0 {
-		return len(raw) > 0
+	if getenv(formerEnv) != "" {
+		former = append(former, formerEnv)
 	}
-	for _, fault := range from.faults {
-		c.Warnings = append(c.Warnings, fmt.Sprintf("%s: %s; taken for the platform's and passed over: this program's is %s.%s",
-			at, fault.What, ownObject, f.name))
+	if len(former) > 0 {
+		c.Warnings = append(c.Warnings, fmt.Sprintf("%s: the platform's, not read here; this program's own fields stand in the object %q, its variables begin with VALVERING_",
+			strings.Join(former, ", "), ownObject))
 	}
-	return false
 }
 
 func (c *File) takeAdmin(p *parser, name string) {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -73,7 +73,7 @@
 // follow fetches the whole list, then watches it, until ctx ends. What can't be
 // had is asked for again soon; the list held stays in force meanwhile.
 func (d *discovery) follow(ctx context.Context, addr string) {
-	rev, have, backoff, down := int64(0), false, leastBackoff, false
+	rev, have, backoff, down, bad := int64(0), false, leastBackoff, false, 0
 	for ctx.Err() == nil {
 		query, limit := "", discoveryTimeout
 		if have {
@@ -102,7 +102,10 @@
 		if have && l.Rev == rev && time.Since(began) < watchPause {
 			sleep(ctx, watchPause) // it does not wait as it should: don't ask without pause
 		}
-		rev = l.Rev
+		if l.Bad != bad && l.Bad > 0 {
+			slog.Warn("lines of discovery's list passed over", "lines", l.Bad, "first", l.BadWhy)
+		}
+		rev, bad = l.Rev, l.Bad
 		switch {
 		case l.All || !have:
 			d.tell(l, policy.Whole)
@@ -139,5 +142,5 @@
 	if err := json.Unmarshal(body, &l); err != nil {
 		return nil, err
 	}
-	return &l, l.Check()
+	return &l, nil
 }
--- a/internal/snapshot/codec.go
+++ b/internal/snapshot/codec.go
@@ -211,7 +211,7 @@
 		s.Taken = Moment{Wall: time.Unix(0, int64(r.u64())), Up: time.Duration(r.u64()), Boot: r.text()}
 		s.Clean = r.bool()
 	case sectionList:
-		if json.Unmarshal(r.b, &s.List) != nil || s.List != nil && s.List.Check() != nil {
+		if json.Unmarshal(r.b, &s.List) != nil || s.List != nil && s.List.Bad > 0 {
 			return false
 		}
 		return true
--- a/internal/wire/json.go
+++ b/internal/wire/json.go
@@ -67,6 +67,9 @@
 	switch v := v.(type) {
 	case map[string]any:
 		for k, e := range v {
+			if k == "" || strings.ContainsAny(k, ".= ") {
+				continue // anybody's: in a path it would pass for other keys
+			}
 			if path != "" {
 				k = path + "." + k
 			}
