--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -236,6 +237,24 @@
 	}
 }
 
+// A file that nobody writes, as on a disk that hangs, is given up.
+func TestFileThatHangs(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := readWithin(path, time.Millisecond)
+	var faults Faults
+	if !errors.As(err, &faults) || faults[0].Field != "file" || errors.Is(err, ErrUnreadable) {
+		t.Errorf("%v", err)
+	}
+	w, err := os.OpenFile(path, os.O_RDWR, 0) // lets go of the one that still waits
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Close()
+}
+
 // bench is a history with its file and its time.
 type bench struct {
 	*History
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -110,7 +110,9 @@
 const readWait = 10 * time.Second
 
 // ReadFile reads a configuration file of bounded size, in bounded time.
-func ReadFile(path string) ([]byte, error) {
+func ReadFile(path string) ([]byte, error) { return readWithin(path, readWait) }
+
+func readWithin(path string, wait time.Duration) ([]byte, error) {
 	type file struct {
 		data []byte
 		err  error
@@ -123,8 +125,8 @@
 	select {
 	case f := <-read:
 		return f.data, f.err
-	case <-time.After(readWait):
-		return nil, Faults{{"file", fmt.Sprintf("not read within %v", readWait)}}
+	case <-time.After(wait):
+		return nil, Faults{{"file", fmt.Sprintf("not read within %v", wait)}}
 	}
 }
 
