Let an edge node that hears nobody go on, by what its roots let in before

A customer's set has 170 to 240 edge nodes there, and each sees one of its requests in about 20 s, so what is known of a single peer or customer helps little: what is remembered is of all.

- Four asks without an answer and without any word from anybody: the edge node is deaf.
Requests then pass or are refused at once; the ask is sent along for a root that hears it.
One word ends it.
- A deaf root's store fills by its own part only: what others pass meanwhile it can't see.
- The same rule decides where only some answer; the power of the share answered is gone.

--- /dev/null
+++ b/policy/deaf_test.go
@@ -0,0 +1,109 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// silent is what deaf gateways do while they hear nobody.
+type silent struct {
+	calm, calmPassed int     // first tries of customers within their quotas, how many passed
+	alone            int     // requests that passed with no root's word
+	most             float64 // how many may, by what roots let in before
+	repeats, waits   int     // clients' repeats that passed alone, requests that were made to wait
+	deafAfter        int     // gateways that are deaf a second after the silence
+}
+
+// deafen plays 100 gateways that hear nobody for six seconds, in which twice as much is asked
+// for, by customers of which some ask for several times their quota. each, if any, is done at each step of the silence.
+func deafen(t testing.TB, seed uint64, each func(w *crowd)) (s silent) {
+	const (
+		gateways, customers, spread = 100, 200, 50
+		heavy                       = 10 // of the customers
+		perStep                     = 8  // requests in a hundredth of a second
+		silence                     = 6 * time.Second
+	)
+	w := newCrowd(t, gateways, fleet(60))
+	rng, id, lost := rand.New(rand.NewPCG(seed, 7)), RequestID(0), false
+	w.lose = func(int, int) bool { return lost || rng.IntN(20) == 0 }
+	step := func(time.Duration) {
+		n := perStep
+		if lost {
+			n *= 2 // a release begins
+		}
+		for range n {
+			k := rng.IntN(customers)
+			if rng.IntN(4) == 0 {
+				k = rng.IntN(heavy)
+			}
+			id++
+			r := Request{ID: id, Customer: fmt.Sprint(k), Plan: "rate", Class: "safe", Units: 1, Remaining: 2 * time.Second,
+				Spread: spread, First: k % gateways, Retry: rng.IntN(5) == 0}
+			from := (k + rng.IntN(spread)) % gateways
+			g, sent, final := w.gs[from], len(w.sends), w.final
+			deaf := g.deaf()
+			w.do(from, r)
+			passed := len(w.sends) > sent
+			if c := g.customers[keyOf(r.Customer)]; !deaf || c != nil && len(c.ask) == 0 {
+				continue // it hears, or counts the customer itself
+			}
+			if !passed && w.final == final {
+				s.waits++
+			}
+			if !r.Retry && k >= heavy {
+				s.calm++
+			}
+			if !passed {
+				continue
+			}
+			s.alone++
+			if r.Retry {
+				s.repeats++
+			} else if k >= heavy {
+				s.calmPassed++
+			}
+		}
+	}
+	w.pass(8*time.Second, step)
+	for _, g := range w.gs {
+		s.most += g.mostCredit() + g.lets*silence.Seconds()/letSpan.Seconds()
+	}
+	lost = true
+	w.pass(silence, func(now time.Duration) {
+		if each != nil {
+			each(w)
+		}
+		step(now)
+	})
+	lost = false
+	w.pass(time.Second, step)
+	for _, g := range w.gs {
+		if g.deaf() {
+			s.deafAfter++
+		}
+	}
+	return s
+}
+
+// Gateways that hear nobody go on serving, without waiting for answers that can't come,
+// and pass in sum no more than their roots let in before; one word ends it.
+func TestDeafGatewaysServeAlone(t *testing.T) {
+	for seed := range uint64(5) {
+		s := deafen(t, seed, nil)
+		t.Logf("seed %d: %+v", seed, s)
+		if s.waits > 0 || s.repeats > 0 || s.deafAfter > 0 || float64(s.alone) > s.most || s.calmPassed*5 < s.calm*2 || s.calm == 0 {
+			t.Errorf("seed %d: %+v", seed, s)
+		}
+	}
+	// The bound is seen to be broken where it is.
+	s := deafen(t, 1, func(w *crowd) {
+		for _, g := range w.gs {
+			g.credit = 2 * g.mostCredit()
+		}
+	})
+	if float64(s.alone) <= s.most {
+		t.Errorf("%+v with credit out of nothing", s)
+	}
+}
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -92,6 +92,7 @@
 	if ev.From < 0 || ev.From >= len(g.peers) || ev.From == g.set.Me {
 		return
 	}
+	g.unheard = 0
 	switch m := decode(ev.Data).(type) {
 	case ask:
 		if plan, cl := g.meant(ev.From, &m); cl != nil && m.Spread > 0 {
@@ -156,8 +157,10 @@
 		case g.now+g.set.Resolution <= r.until: // a timer may come a rounding early
 			g.asking = append(g.asking, r)
 		case r.waits:
+			g.letIn(r, 0)
 			g.refuse(r)
 		default:
+			g.unheard++
 			g.ask(r)
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,28 +63,29 @@
 	strainOwn          = 0.15                             // weight of an outcome or a root's word in it
 
 	// Where reports from all to all are more than the mail bears.
-	leftFor      = 2 * time.Second       // one that told of its end is back by then, or is missed as ever
-	treeBeyond   = 2                     // the mail would stretch the longest tick by this factor
-	rootMail     = 0.5                   // part of its mail intake that a root spends on one customer
-	rootPeak     = 2.0                   // asks it must bear, as a multiple of those inside the quota
-	rootTicks    = 2                     // roots of a customer report to each other every so many ticks
-	rootAsks     = 3                     // times a root is asked before its deputy is
-	freshFill    = 0.8                   // part of a store that a root just started presumes
-	deputyPart   = 0.25                  // part of a hard ceiling that the deputy holds
-	leastReply   = 30 * time.Millisecond // an answer is waited for this long at least
-	replySpread  = 2.5                   // and for this many mean times
-	unheardPower = 4.0                   // what no root answers passes with this power of the share answered
-	leaseTicks   = 3                     // ticks for which a word of an attempt counts: one may be lost
-	thinSpan     = 20 * time.Second      // a root's word of what part fits is heeded so long
-	mostPace     = 12.0                  // most a server's pace is taken for
-	paceLearn    = 0.025                 // weight of an outcome in the pace at its watcher
-	paceStep     = 1.7                   // a pace is told when it changed by this factor
-	verdictMail  = 0.1                   // part of a gateway's mail intake that verdicts may fill
-	verdictKeep  = 2.0                   // verdicts a watcher may send at once
-	verdictLife  = 8 * time.Second       // a verdict not told again lapses
-	otherZone    = 0.7                   // weight of a server in another zone
-	zoneTurns    = 12                    // a multiple of 2, 3, 4 and 6: the zones there may be
-	nearMost     = 20                    // servers that a gateway keeps to: enough to even out slow ones
+	leftFor     = 2 * time.Second       // one that told of its end is back by then, or is missed as ever
+	treeBeyond  = 2                     // the mail would stretch the longest tick by this factor
+	rootMail    = 0.5                   // part of its mail intake that a root spends on one customer
+	rootPeak    = 2.0                   // asks it must bear, as a multiple of those inside the quota
+	rootTicks   = 2                     // roots of a customer report to each other every so many ticks
+	rootAsks    = 3                     // times a root is asked before its deputy is
+	freshFill   = 0.8                   // part of a store that a root just started presumes
+	deputyPart  = 0.25                  // part of a hard ceiling that the deputy holds
+	leastReply  = 30 * time.Millisecond // an answer is waited for this long at least
+	replySpread = 2.5                   // and for this many mean times
+	deafAsks    = 4                     // as many asks as one request takes, and no word from anybody: deaf
+	fitLearn    = 0.05                  // weight of a root's word in what part of a plan's requests fits
+	leaseTicks  = 3                     // ticks for which a word of an attempt counts: one may be lost
+	thinSpan    = 20 * time.Second      // a root's word of what part fits is heeded so long
+	paceStep    = 1.7                   // a pace is told when it changed by this factor
+	verdictLife = 8 * time.Second       // a verdict not told again lapses
+	otherZone   = 0.7                   // weight of a server in another zone
+	zoneTurns   = 12                    // a multiple of 2, 3, 4 and 6: the zones there may be
+	nearMost    = 20                    // servers that a gateway keeps to: enough to even out slow ones
+
+	letSpan, creditSpan      = 4 * time.Second, time.Second / 2 // of what roots let in; what of it at once
+	mostPace, paceLearn      = 12.0, 0.025                      // most a pace is taken for, weight in it
+	verdictMail, verdictKeep = 0.1, 2.0                         // part of the mail for verdicts, most at once
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -101,7 +102,7 @@
 	}
 	mail := max(s.MailPerSecond*mailShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
-	g.own, g.gate, g.heard = learn, 1, 1
+	g.own, g.gate = learn, 1
 	if g.tree = g.tick > treeBeyond*maxTick && s.CanTell; g.tree {
 		g.own = 0 // what the watchers tell is more than what this gateway sees
 	}
@@ -214,8 +215,8 @@
 		}
 	}
 	share := 1 - unheard/g.demand(c)
-	if len(c.ask) > 0 && !c.sums {
-		share = 1 / float64(c.spread) // what others pass is the root's to know
+	if len(c.ask) > 0 && !c.sums || g.deaf() {
+		share = 1 / float64(c.spread) // what others pass is the root's to know, if it hears
 	}
 	c.store = min(c.plan.Burst, c.store+c.plan.Rate*dt*share)
 	c.ceiling = max(c.ceiling, min(c.plan.HardBurst/c.n, c.ceiling+c.plan.HardRate/c.n*dt))
@@ -695,6 +696,7 @@
 		g.forget()
 	}
 	g.sendRate *= math.Exp(-float64(dt) / float64(max(1, g.set.FallTime)))
+	g.earn(dt)
 	g.sumLoads()
 	g.adapt(dt)
 	for _, s := range g.fleet {
@@ -772,13 +774,9 @@
 	}
 }
 
-// Asking the roots of a customer: where its counts are not here, a request
-// waits for its root's answer.
-
-// ask sends a request to the customer's root, again if that or the answer is
-// lost, and then to the deputy. No answer from either leaves it to the last
-// fill heard, but under a ceiling: lost roots must not stop customers far below
-// their quotas.
+// ask sends a request to the customer's root, whose answer it waits for, again if either
+// is lost, and then to the deputy. One that neither answers may pass alone, at once where
+// nobody is heard: lost roots must not stop customers within their quotas.
 func (g *Gateway) ask(r *request) {
 	c, to := r.c, g.set.Me
 	if len(c.ask) > 0 { // by new figures it may count here by now
@@ -788,11 +786,13 @@
 	}
 	t := g.toPeer(to, r)
 	delete(g.asks, r.tag)
-	if r.asked > rootAsks || t == nil && to != g.set.Me || g.now+2*g.set.Resolution >= r.deadline {
-		// Where much of the mail is lost the roots are flooded: few may pass unheard.
-		pass := math.Pow(g.heard, unheardPower)
-		if r.waits || g.now >= r.deadline || g.rng.Float64() > pass || c.plan.HardRate > 0 ||
-			!g.within(r) || !g.try(r) {
+	deaf := r.asked == 0 && to != g.set.Me && g.deaf()
+	if deaf && t != nil { // a root that hears this counts it, and its answer ends the silence
+		r.tag = g.newTag(t)
+		g.do(Tell{To: to, Data: encode(g.askOf(r, t))})
+	}
+	if deaf || r.asked > rootAsks || t == nil && to != g.set.Me || g.now+2*g.set.Resolution >= r.deadline {
+		if r.waits || c.plan.HardRate > 0 || !g.within(r) || !g.alone(r) || !g.try(r) {
 			g.refuse(r)
 		}
 		return
@@ -804,9 +804,6 @@
 	if r.asked != 1 || r.root != to || r.by != t { // the same name when the same root is asked again
 		r.tag, r.by = g.newTag(t), t
 	}
-	if r.asked > 0 {
-		g.heard -= learn * g.heard
-	}
 	r.root, r.askedAt = to, g.now
 	r.asked++
 	wait := max(leastReply, time.Duration(replySpread*float64(g.reply)))
@@ -817,6 +814,22 @@
 	g.do(SetTimer{Token: "ask", After: r.until - g.now})
 }
 
+// deaf tells whether nobody is heard at all: what is asked of a root is lost then.
+func (g *Gateway) deaf() bool { return g.tree && g.unheard >= deafAsks }
+
+// alone decides whether a request passes with no root's word: as many first tries do as
+// roots let in of late, and the fewer may still pass the more one must be worth. So servers
+// and quotas see in sum what they saw then. Harms where demand changes meanwhile.
+func (g *Gateway) alone(r *request) bool {
+	q := r.c.plan
+	worth := q.fits + (1-q.fits)*(q.BeyondEarns-q.BeyondCosts)
+	pass := !r.repeat && g.credit >= 1 && worth > 1-g.credit/g.mostCredit()
+	if pass {
+		g.credit--
+	}
+	return pass
+}
+
 // onAsk takes a member's request into the customer's counts as if it had come
 // in here.
 func (g *Gateway) onAsk(from int, m ask, plan *quota, cl *class) {
@@ -910,7 +923,6 @@
 		g.reply += time.Duration(learn * float64(g.now-r.askedAt-g.reply))
 	}
 	g.advance(c)
-	g.heard += learn * (1 - g.heard)
 	g.strain += strainOwn * (float64(m.Strain)/100 - g.strain)
 	c.part, c.partAt = float64(m.Part)/250, g.now
 	c.store, c.told = float64(m.Fill)/250*c.plan.Burst, g.ticks+1
@@ -921,10 +933,12 @@
 	}
 	delete(g.asks, m.Tag)
 	if m.Verdict != granted {
+		g.letIn(r, 0)
 		r.asked = 0 // it counts nowhere
 		g.refuse(r)
 		return
 	}
+	g.letIn(r, 1)
 	if r.granted = true; !g.within(r) {
 		g.refuse(r)
 	} else if !g.try(r) {
@@ -991,6 +1005,5 @@
 	}
 }
 
-// A pace in a message: sixteenths of its log2, from 1/16 on.
-func paceByte(pace float64) byte { return small(16 * (4 + math.Log2(max(pace, 0.1)))) }
+func paceByte(pace float64) byte { return small(16 * (4 + math.Log2(max(pace, 0.1)))) } // 1/16 of its log2
 func paceOf(b byte) float64      { return math.Exp2(float64(b)/16 - 4) }
--- a/policy/state.go
+++ b/policy/state.go
@@ -43,7 +43,8 @@
 // quota is a plan with its place in the settings.
 type quota struct {
 	Plan
-	no byte
+	no   byte
+	fits float64 // share of what is asked for under it that roots let in of late
 }
 
 // lease names a request that another gateway asked for.
@@ -193,7 +194,9 @@
 	live      int     // servers in the list that run
 	mean      float64 // seconds an idle server takes, over all classes
 	minAim    float64 // the shortest aim, in seconds
-	heard     float64 // share of asks that are answered
+	unheard   int     // asks that were not answered since anybody's last word
+	lets      float64 // requests that roots let in, faded over letSpan
+	credit    float64 // requests that may pass with no root's word now
 	own       float64 // weight of an outcome in a server's pace here
 	gate      float64 // part of the requests let in
 	tree      bool    // reports from all to all would be too many
@@ -363,6 +366,24 @@
 	g.ring = append(g.ring, c)
 }
 
+// letIn learns from a root's last word on a request: what part of it may go.
+func (g *Gateway) letIn(r *request, part float64) {
+	g.lets += part
+	g.credit = max(0, g.credit-part)
+	r.c.plan.fits += fitLearn * (part - r.c.plan.fits)
+}
+
+// earn has the credit grow by what roots let in of late, and that fade.
+func (g *Gateway) earn(dt time.Duration) {
+	part := dt.Seconds() / letSpan.Seconds()
+	g.credit = min(g.credit+g.lets*part, g.mostCredit())
+	if !g.deaf() {
+		g.lets *= math.Exp(-part)
+	}
+}
+
+func (g *Gateway) mostCredit() float64 { return 1 + g.lets*creditSpan.Seconds()/letSpan.Seconds() }
+
 // byWeight draws a server by weight, of a sum of at least so much: none for the rest.
 func (g *Gateway) byWeight(list []*server, least float64) *server {
 	sum := 0.0
@@ -418,7 +439,7 @@
 	g.inc = g.rng.Uint32()
 	g.tables, g.left, g.adopted = []*table{newTable(&s)}, map[int]time.Duration{}, map[handKey]time.Duration{}
 	for i, p := range s.Plans {
-		g.plans[p.Name] = &quota{p, byte(i)}
+		g.plans[p.Name] = &quota{Plan: p, no: byte(i), fits: 1}
 	}
 	for i, c := range s.Classes {
 		g.classes[c.Name] = &class{Class: c, no: i}
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -320,7 +320,7 @@
 	for i, p := range list {
 		q := old[p.Name]
 		if q == nil {
-			q = &quota{}
+			q = &quota{fits: 1}
 		}
 		q.Plan, q.no = p, byte(i)
 		g.plans[p.Name] = q
