Have fleets of 14 edge nodes and more ask roots, not only those of 39 and more

Up to 38 edge nodes told all others of all their customers (policy.New: roots only where the tick that the mail allows is over twice the longest; the tick itself is then cut to the longest). From 20 on that is more mail than anybody takes in, up to 148 reports a second where 75 are meant; and from about 12 on a report of 256 bytes no longer holds what changes in a tick.

Fleets of up to 13 and of 39 and more decide as before. The test of the mail's bound fails at 21 to 38 without the change.

--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -116,6 +116,26 @@
 		Remaining: 2 * time.Second, Spread: spread})
 }
 
+// Reports from all to all take no more of anybody's mail than is theirs, at any size of
+// the fleet: beyond, members ask roots. Fleets of 20 to 38 gateways told each other more
+// than they could take in.
+func TestReportsFitTheMail(t *testing.T) {
+	for n := 2; n <= 300; n++ {
+		s := base()
+		s.Gateways, s.MailPerSecond = n, 100
+		g, err := New(s, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if told := float64(n-1) / g.tick.Seconds(); !g.tree && told > 1.001*mailShare*s.MailPerSecond {
+			t.Errorf("%d gateways: %.0f reports a second to each", n, told)
+		}
+		if tree := n > 13; g.tree != tree {
+			t.Errorf("%d gateways: roots %v", n, g.tree)
+		}
+	}
+}
+
 // Hundreds of gateways, each seeing few requests of a customer that asks five
 // times its quota, pass no more than the quota together and leave little of it
 // unused, with a few messages a request.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,7 +64,7 @@
 
 	// Where reports from all to all are more than the mail bears.
 	leftFor     = 2 * time.Second       // one that told of its end is back by then, or is missed as ever
-	treeBeyond  = 2                     // the mail would stretch the longest tick by this factor
+	treeTick    = maxTick * 2 / 3       // longest tick up to which reports to all serve better
 	rootMail    = 0.5                   // part of its mail intake that a root spends on one customer
 	rootPeak    = 2.0                   // asks it must bear, as a multiple of those inside the quota
 	rootTicks   = 2                     // roots of a customer report to each other every so many ticks
@@ -103,7 +103,7 @@
 	mail := max(s.MailPerSecond*mailShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
 	g.own, g.gate = learn, 1
-	if g.tree = g.tick > treeBeyond*maxTick && s.CanTell; g.tree {
+	if g.tree = g.tick > treeTick && s.CanTell; g.tree {
 		g.own = 0 // what the watchers tell is more than what this gateway sees
 	}
 	g.nextTag, g.reply = g.rng.Uint32(), leastReply
