--- a/cmd/pepperfall/tape.go
+++ b/cmd/pepperfall/tape.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 )
@@ -40,15 +41,14 @@
 func (t *tape) Write(line []byte) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.ended {
-		if t.dropped == 0 || t.put(fmt.Appendf(nil, "%d lines of the log dropped: nobody took them\n", t.dropped)) {
-			t.dropped = 0
-			if !t.put(append([]byte(nil), line...)) {
-				t.dropped = 1
-			}
-		} else {
-			t.dropped++
-		}
+	if t.ended {
+		return len(line), nil
+	}
+	if t.dropped > 0 && t.put(fmt.Appendf(nil, "%d lines of the log dropped: nobody took them\n", t.dropped)) {
+		t.dropped = 0
+	}
+	if t.dropped > 0 || !t.put(slices.Clone(line)) {
+		t.dropped++
 	}
 	return len(line), nil
 }
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -211,7 +211,8 @@
 }
 
 // Parse checks a file whole. The platform's variables (GW_) and this program's own
-// (VALVERING_), where set, go before what it holds. The error is ErrUnreadable for what is no JSON object, or else Faults.
+// (VALVERING_), where set, go before what it holds. The error is ErrUnreadable for what
+// is no JSON object, or else Faults.
 func (s Source) Parse(data []byte) (*File, error) {
 	p := &parser{}
 	if err := json.Unmarshal(data, &p.top); err != nil || p.top == nil {
