Read the configuration file once at a start, not twice

Cause: cmd/pepperfall's recall loaded the file to find the state directory, and then config.Start or config.Resume read and checked it again. Both take what was loaded now (config.Loaded). What a start makes of a file is as before; the tests' assertions are unchanged. Checked: tests of config, node, machine and the real program.

--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -86,18 +86,19 @@
 // names a state directory. A directory that can't be used is no reason not to
 // serve: the edge node starts without it.
 func recall(src config.Source) (*config.History, *node.Kept, error) {
+	loaded := src.Load()
 	path, name := src.Getenv(config.StateDirEnv), src.Getenv("GW_NAME")
-	if f, _, err := src.Load(); err == nil {
-		path, name = f.StateDir, f.Name
+	if loaded.Err == nil {
+		path, name = loaded.File.StateDir, loaded.File.Name
 	}
 	if !filepath.IsAbs(path) || name == "" {
-		h, err := config.Start(src, time.Now())
+		h, err := config.Start(loaded, time.Now())
 		return h, nil, err
 	}
 	kept, err := open(path, name)
 	if err != nil {
 		slog.Error("the state directory can't be used; no snapshots are kept", "err", err)
-		h, err := config.Start(src, time.Now())
+		h, err := config.Start(loaded, time.Now())
 		return h, nil, err
 	}
 	found := kept.Found
@@ -105,10 +106,10 @@
 		slog.Warn("snapshot passed over", "why", p)
 	}
 	if found.State == nil {
-		h, err := config.Start(src, time.Now())
+		h, err := config.Start(loaded, time.Now())
 		return h, kept, err
 	}
-	h, notes, err := config.Resume(src, found.State.Current, found.State.Before, found.State.Left, time.Now())
+	h, notes, err := config.Resume(loaded, found.State.Current, found.State.Before, found.State.Left, time.Now())
 	for _, n := range notes {
 		slog.Warn("configuration", "note", n)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -267,7 +267,7 @@
 	t.Helper()
 	b := &bench{t: t, path: filepath.Join(t.TempDir(), "config.json"), now: time.Unix(1e9, 0)}
 	b.write(testFile)
-	h, err := Start(Source{func(key string) string { return map[string]string{"GW_CONFIG": b.path}[key] }}, b.now)
+	h, err := Start(Source{func(key string) string { return map[string]string{"GW_CONFIG": b.path}[key] }}.Load(), b.now)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -442,7 +442,7 @@
 			t.Fatal(err)
 		}
 		src := Source{func(key string) string { return map[string]string{"GW_CONFIG": path}[key] }}
-		h, notes, err := Resume(src, c.current, c.before, c.left, time.Unix(99, 0))
+		h, notes, err := Resume(src.Load(), c.current, c.before, c.left, time.Unix(99, 0))
 		if (err != nil) != (c.number == 0) {
 			t.Errorf("%s: %v", c.name, err)
 		}
@@ -466,7 +466,7 @@
 func TestRollBackOverRestart(t *testing.T) {
 	b := newBench(t)
 	other := strings.Replace(testFile, `["127.0.0.1:5"]`, `["127.0.0.1:6"]`, 1)
-	h, _, err := Resume(Source{func(key string) string { return map[string]string{"GW_CONFIG": b.path}[key] }}, Kept{1, DigestOf([]byte(other)), b.now, []byte(other)}, Kept{}, "", b.now)
+	h, _, err := Resume(Source{func(key string) string { return map[string]string{"GW_CONFIG": b.path}[key] }}.Load(), Kept{1, DigestOf([]byte(other)), b.now, []byte(other)}, Kept{}, "", b.now)
 	if err == nil {
 		_, err = h.Back(b.now)
 	}
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -64,32 +64,38 @@
 // ErrNoneBefore is what rolling back finds when there is nothing to return to.
 var ErrNoneBefore = errors.New("no generation is kept before the one in force")
 
+// Loaded is a file as it was read once, for all that a start makes of it.
+type Loaded struct {
+	File *File // nil: it can't be used, and Err says why
+	Err  error
+	raw  []byte
+	src  Source
+}
+
 // Load reads and checks the file.
-func (s Source) Load() (*File, []byte, error) {
-	raw, err := s.Read()
-	if err != nil {
-		return nil, nil, err
+func (s Source) Load() Loaded {
+	l := Loaded{src: s}
+	if l.raw, l.Err = s.Read(); l.Err == nil {
+		l.File, l.Err = s.Parse(l.raw)
 	}
-	f, err := s.Parse(raw)
-	return f, raw, err
+	return l
 }
 
-// Start reads and checks the file that a process starts with.
-func Start(src Source, now time.Time) (*History, error) {
-	f, raw, err := src.Load()
-	if err != nil {
-		return nil, err
+// Start begins with the file that was loaded.
+func Start(l Loaded, now time.Time) (*History, error) {
+	if l.Err != nil {
+		return nil, l.Err
 	}
-	return &History{src: src.reload(), current: &Generation{1, DigestOf(raw), now, raw, f}}, nil
+	return &History{src: l.src.reload(), current: &Generation{1, DigestOf(l.raw), now, l.raw, l.File}}, nil
 }
 
-// Resume starts with the file too, and goes on from what was in force before the
+// Resume begins with the file too, and goes on from what was in force before the
 // process ended. The generation that was in force comes back where the file can't
 // be used, since a crash must not turn a refused change into an outage, and where
 // it is the one that an operator had rolled back from. Notes tell what was made of
 // it.
-func Resume(src Source, current, before Kept, left string, now time.Time) (h *History, notes []string, err error) {
-	f, raw, err := src.Load()
+func Resume(l Loaded, current, before Kept, left string, now time.Time) (h *History, notes []string, err error) {
+	src, f, raw, err := l.src, l.File, l.raw, l.Err
 	digest := DigestOf(raw)
 	was, wasErr := src.revive(current)
 	h = &History{src: src.reload()}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -167,7 +167,7 @@
 	writeConfig(t, path, discovery, more, settings)
 	h, err := config.Start(config.Source{Getenv: func(key string) string {
 		return map[string]string{"GW_CONFIG": path, "GW_DISCOVERY": discovery}[key]
-	}}, time.Now())
+	}}.Load(), time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
