--- a/cmd/pepperfall/main.go
+++ b/cmd/pepperfall/main.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"yardcleat.example/yardcleat/internal/admin"
+	"yardcleat.example/yardcleat/internal/bounded"
 	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/internal/node"
 	"yardcleat.example/yardcleat/internal/snapshot"
@@ -121,26 +122,18 @@
 
 // open reads what is kept in a state directory.
 func open(path, name string) (*node.Kept, error) {
-	type opened struct {
-		kept *node.Kept
-		err  error
-	}
-	done := make(chan opened, 1)
-	go func() {
+	kept, err := bounded.Do(openWait, func() (*node.Kept, error) {
 		dir, err := snapshot.OpenDir(path)
 		if err != nil {
-			done <- opened{err: err}
-			return
+			return nil, err
 		}
 		store, found := snapshot.Open(dir, name)
-		done <- opened{kept: &node.Kept{Store: store, Found: found}}
-	}()
-	select {
-	case o := <-done:
-		return o.kept, o.err
-	case <-time.After(openWait):
+		return &node.Kept{Store: store, Found: found}, nil
+	})
+	if errors.Is(err, bounded.ErrLate) {
 		return nil, fmt.Errorf("%s: not read within %v", path, openWait)
 	}
+	return kept, err
 }
 
 func run() int {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -24,6 +24,7 @@
 	"strings"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/bounded"
 	"yardcleat.example/yardcleat/internal/roster"
 	"yardcleat.example/yardcleat/internal/wire"
 	"yardcleat.example/yardcleat/policy"
@@ -113,21 +114,11 @@
 func ReadFile(path string) ([]byte, error) { return readWithin(path, readWait) }
 
 func readWithin(path string, wait time.Duration) ([]byte, error) {
-	type file struct {
-		data []byte
-		err  error
-	}
-	read := make(chan file, 1)
-	go func() {
-		data, err := readAll(path)
-		read <- file{data, err}
-	}()
-	select {
-	case f := <-read:
-		return f.data, f.err
-	case <-time.After(wait):
+	data, err := bounded.Do(wait, func() ([]byte, error) { return readAll(path) })
+	if errors.Is(err, bounded.ErrLate) {
 		return nil, Faults{{"file", fmt.Sprintf("not read within %v", wait)}}
 	}
+	return data, err
 }
 
 func readAll(path string) ([]byte, error) {
