--- a/cmd/pepperfall/service_test.go
+++ b/cmd/pepperfall/service_test.go
@@ -241,27 +241,34 @@
 // operate calls the operators' address.
 func (s *service) operate(method, path string) (int, adminStatus) {
 	s.t.Helper()
-	r, err := http.NewRequest(method, "http://"+s.admin+path, nil)
+	code, st, err := s.tryToOperate(method, path)
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	return code, st
+}
+
+// tryToOperate does so where descriptors may be short.
+func (s *service) tryToOperate(method, path string) (code int, st adminStatus, err error) {
+	r, err := http.NewRequest(method, "http://"+s.admin+path, nil)
+	if err != nil {
+		return 0, st, err
+	}
 	r.Close = true
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
-		s.t.Fatal(err)
+		return 0, st, err
 	}
 	defer resp.Body.Close()
-	var st adminStatus
-	if err := json.NewDecoder(resp.Body).Decode(&st); err != nil {
-		s.t.Fatal(err)
-	}
-	return resp.StatusCode, st
+	err = json.NewDecoder(resp.Body).Decode(&st)
+	return resp.StatusCode, st, err
 }
 
 type adminStatus struct {
 	Generation, Before *struct{ Number int }
 	Refused            *struct{ Faults []struct{ Field string } }
 	Snapshots          *struct{ Written, Failed, Bytes int }
+	Loop               struct{ Looks int64 }
 }
 
 func (s *service) generation() int {
--- a/cmd/pepperfall/start_test.go
+++ b/cmd/pepperfall/start_test.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -175,15 +173,7 @@
 func (s *service) getsOn(looks int64) {
 	s.t.Helper()
 	now := func() int64 {
-		resp, err := http.Get("http://" + s.admin + "/status")
-		if err != nil {
-			return 0 // no descriptor was left for it
-		}
-		defer resp.Body.Close()
-		var st struct{ Loop struct{ Looks int64 } }
-		if json.NewDecoder(resp.Body).Decode(&st) != nil {
-			return 0
-		}
+		_, st, _ := s.tryToOperate("GET", "/status") // 0 where no descriptor was left for it
 		return st.Loop.Looks
 	}
 	var first int64
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -140,8 +141,8 @@
 func add(rng *rand.Rand, v any, at string) {
 	switch v := v.(type) {
 	case map[string]any:
-		for k, e := range v {
-			add(rng, e, at+"/"+k)
+		for _, k := range slices.Sorted(maps.Keys(v)) { // a seed is to give the same file again
+			add(rng, v[k], at+"/"+k)
 		}
 		for range rng.IntN(3) {
 			name := foreign[rng.IntN(len(foreign))]
