Wait for the log in the tests that read it, and end the log in steps

The project's checks failed once: TestKillLoop, "start 8:" with an empty log, though the edge node was ready. Since the log goes through a queue (cmd/pepperfall/tape.go) it is written beside the work, and an answer can come before a line; six places in the tests read the log at once. They wait for what they look for now (service.says); what they look for is unchanged.

Of the same kind: what waits at the end of the process had one wait of 200 ms, which a process that stands still for so long would lose with the line it ends on. It is twenty waits of 10 ms.

Checked: KillLoop, Service, TooLargeStart, ReadyOnceDiscoveryAnswers, DescriptorsAtTheirLimit 72 times each under -race, twelve processes side by side; Tape 100 times.

--- a/cmd/pepperfall/service_test.go
+++ b/cmd/pepperfall/service_test.go
@@ -231,6 +231,12 @@
 	return resp.StatusCode
 }
 
+// says waits until the program's log has something in it: it is written beside the work.
+func (s *service) says(want string) {
+	s.t.Helper()
+	testkit.Eventually(s.t, fmt.Sprintf("%q in the log", want), func() bool { return strings.Contains(s.log.String(), want) })
+}
+
 func (s *service) signal(sig syscall.Signal) {
 	s.t.Helper()
 	if err := s.cmd.Process.Signal(sig); err != nil {
@@ -460,9 +466,7 @@
 		t.Errorf("generation %d after the kill, 13 was in force", n)
 	}
 	for _, want := range []string{"the file was rolled back from", "snapshot found", "discovery does not answer"} {
-		if !strings.Contains(s.log.String(), want) {
-			t.Errorf("no %q in the log:\n%s", want, s.log)
-		}
+		s.says(want)
 	}
 	s.down.Store(false)
 	if code, st := s.operate("POST", "/apply"); code != 200 || st.Generation.Number != 14 {
@@ -492,9 +496,7 @@
 			t.Fatalf("did not end\n%s", s.log)
 		}
 		s.start()
-		if !strings.Contains(s.log.String(), `"planned stop"=true`) {
-			t.Errorf("%s", s.log)
-		}
+		s.says(`"planned stop"=true`)
 	}
 	s.onlyOnce()
 }
@@ -542,7 +544,8 @@
 		}
 		time.Sleep(time.Duration(i*i) * time.Millisecond) // not waited for: the kill is to come anywhere
 		c.kill()
-		if log := s.log.String(); !strings.Contains(log, "snapshot found") || strings.Contains(log, "passed over") {
+		s.says("snapshot found") // and ahead of it what was passed over
+		if log := s.log.String(); strings.Contains(log, "passed over") {
 			t.Fatalf("start %d:\n%s", i, log)
 		}
 	}
--- a/cmd/pepperfall/start_test.go
+++ b/cmd/pepperfall/start_test.go
@@ -112,7 +112,7 @@
 	hold := make(chan struct{})
 	s.silent.Store(&hold)
 	s.begin()
-	testkit.Eventually(t, "the silence noticed", func() bool { return strings.Contains(s.log.String(), "discovery does not answer") })
+	s.says("discovery does not answer")
 	if code := s.health(); code != 503 {
 		t.Errorf("%d with nothing known", code)
 	}
@@ -157,9 +157,7 @@
 	c := s.loadOf(&clients{deadline: 2000, lossy: true, crowded: true}, 2*s.most)
 	c.more(200)
 	c.stop()
-	if log := s.log.String(); !strings.Contains(log, "fewer descriptors than the configuration says") {
-		t.Errorf("nothing said of the descriptors:\n%s", log)
-	}
+	s.says("fewer descriptors than the configuration says")
 	for _, c := range silent {
 		c.Close()
 	}
@@ -281,7 +279,7 @@
 			t.Fatal(err)
 		}
 		s.begin()
-		testkit.Eventually(t, "the wait for the address", func() bool { return strings.Contains(s.log.String(), "can't be had yet") })
+		s.says("can't be had yet")
 		if term {
 			s.signal(syscall.SIGTERM)
 		}
--- a/cmd/pepperfall/tape.go
+++ b/cmd/pepperfall/tape.go
@@ -10,7 +10,8 @@
 
 const (
 	tapeLines = 256                    // that wait to be written; more are dropped and counted
-	tapeEnd   = 200 * time.Millisecond // what waits at the end is given so long
+	tapeEnd   = 200 * time.Millisecond // what waits at the end is given so long,
+	tapeSteps = 20                     // in so many steps: a process that stands still for a while loses one
 )
 
 // tape is where the log goes. Whoever reads it may be slow, or not read at all: Write
@@ -71,8 +72,11 @@
 		close(t.lines)
 	}
 	t.mu.Unlock()
-	select {
-	case <-t.done:
-	case <-time.After(tapeEnd):
+	for range tapeSteps {
+		select {
+		case <-t.done:
+			return
+		case <-time.After(tapeEnd / tapeSteps):
+		}
 	}
 }
