Write no request whose client has gone, and see clients go behind what they send

And peek sees one byte: of a client that had sent more behind its request the end never showed.

An attempt has one mark under its mutex: begun, or withdrawn. look withdraws what is not begun, which ends the dial; do asks once more whether the client is there right before it begins. Such an attempt is Moot, so it says nothing of the server.

A client that sends over 16 KiB ahead and then goes is still noticed with its answer only.

--- /dev/null
+++ b/internal/node/ahead.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"io"
+	"sync"
+	"syscall"
+)
+
+// mostAhead is how many bytes are read of what a client sends before it has its answer:
+// the largest head, for each connection that may be open. What is behind stays in the
+// system's buffer, and the end of a client that sends so much is seen with its answer.
+const mostAhead = mostHead
+
+// ahead is what a client has sent behind a request that is not answered yet. The end of
+// a connection shows only once all before it is taken in, so whoever wants to know
+// whether the client is still there has to read: the connection's goroutine, which waits
+// for the loop meanwhile, gets it from here afterwards.
+type ahead struct {
+	mu    sync.Mutex
+	waits bool // for an answer: nobody else reads
+	buf   []byte
+	end   error // after buf
+}
+
+// await marks that the client waits for an answer.
+func (a *ahead) await() {
+	a.mu.Lock()
+	a.waits = true
+	a.mu.Unlock()
+}
+
+// answered marks that it waits no longer.
+func (a *ahead) answered() {
+	a.mu.Lock()
+	a.waits = false
+	a.mu.Unlock()
+}
+
+// Read gives what was read ahead, then what the connection brings.
+func (cc *clientConn) Read(b []byte) (int, error) {
+	a := &cc.ahead
+	a.mu.Lock()
+	if len(a.buf) > 0 {
+		n := copy(b, a.buf)
+		if a.buf = a.buf[n:]; len(a.buf) == 0 {
+			a.buf = nil
+		}
+		a.mu.Unlock()
+		return n, nil
+	}
+	end := a.end
+	a.mu.Unlock()
+	if end != nil {
+		return 0, end
+	}
+	return cc.Conn.Read(b)
+}
+
+// gone tells whether the client has closed its connection, ended its sending or broken
+// off. It may be called at any time, waits for nothing, and is false once the
+// request is answered.
+func (cc *clientConn) gone() bool {
+	a := &cc.ahead
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.waits || a.end != nil {
+		return a.waits
+	}
+	sc, ok := cc.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) {
+		var b [2 << 10]byte
+		for len(a.buf) < mostAhead {
+			n, _, err := syscall.Recvfrom(int(fd), b[:min(len(b), mostAhead-len(a.buf))], syscall.MSG_DONTWAIT)
+			switch {
+			case err == syscall.EINTR:
+				continue
+			case err == syscall.EAGAIN:
+				return
+			case err != nil:
+				a.end = err
+				return
+			case n == 0:
+				a.end = io.EOF
+				return
+			}
+			a.buf = append(a.buf, b[:n]...)
+		}
+	})
+	return err != nil || a.end != nil
+}
--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"yardcleat.example/yardcleat/internal/testkit"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// holdDials has each dial to an app server wait: begun tells of one, and each value sent
+// on let lets one go on.
+func holdDials(u *upstream) (begun <-chan string, let chan<- struct{}) {
+	b, l := make(chan string), make(chan struct{})
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dial = net.Dialer{KeepAlive: -1, Control: func(_, addr string, _ syscall.RawConn) error {
+		b <- addr
+		<-l
+		return nil
+	}}
+	return b, l
+}
+
+// looks waits until the loop has looked for clients that have gone, from now on.
+func (r *running) looks(t *testing.T) {
+	t.Helper()
+	from := r.loop.pulse.looks.Load()
+	testkit.Eventually(t, "two looks", func() bool { return r.loop.pulse.looks.Load() >= from+2 })
+}
+
+// idle waits until the edge node has no attempt out.
+func (r *running) idle(t *testing.T) {
+	t.Helper()
+	testkit.Eventually(t, "no attempt out", func() bool {
+		r.up.mu.Lock()
+		defer r.up.mu.Unlock()
+		kept := 0
+		for _, s := range r.up.servers {
+			kept += len(s.idle)
+		}
+		return r.up.open == kept
+	})
+}
+
+// A dial takes up to its time-out. A client that goes meanwhile has its request let go,
+// and the connection that comes up then must not carry it.
+func TestClientLeavesWhileItsDialIsOut(t *testing.T) {
+	for name, ahead := range map[string]string{"": "", "with more sent": "GET /lookup HTTP/1.1\r\nHost: a\r\n\r\n"} {
+		a := newApp(t, answer("200 OK", "", "hits"))
+		n := nodeWith(t, a.addr())
+		begun, let := holdDials(n.up)
+		c := dial(t, n)
+		r := request(n.url, "loan", patience)
+		send(t, c, r)
+		<-begun
+		if _, err := c.Write([]byte(ahead)); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		n.looks(t)
+		let <- struct{}{}
+		n.idle(t)
+		if a.seen.Load() != 0 {
+			t.Errorf("%s: sent on for a client that had gone", name)
+		}
+		n.stop()
+		if err := <-n.done; err != nil {
+			t.Error(err)
+		}
+		http.DefaultClient.CloseIdleConnections()
+	}
+}
+
+// The loop looks now and then; between two looks, and behind a long queue, the check
+// before the write is the only one.
+func TestClientLeavesJustBeforeTheWrite(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	u := pool(a.addr())
+	at, do := u.try(patience)
+	at.left = func() bool { return true }
+	if r, _ := do(); r.code != policy.Moot || a.seen.Load() != 0 || u.open != 0 {
+		t.Errorf("code %d after %d requests, %d open", r.code, a.seen.Load(), u.open)
+	}
+}
+
+// Once its request may have been written an attempt goes on: it has its effect anyway.
+func TestClientLeavesOnceItIsWritten(t *testing.T) {
+	a, let := held(t)
+	n := nodeWith(t, a.addr())
+	c := dial(t, n)
+	send(t, c, request(n.url, "loan", patience))
+	testkit.Eventually(t, "the request at the app server", func() bool { return a.seen.Load() == 1 })
+	c.Close()
+	n.looks(t)
+	n.up.mu.Lock()
+	if n.up.open != 1 {
+		t.Error("called back though it may have run")
+	}
+	n.up.mu.Unlock()
+	let()
+	n.idle(t)
+}
+
+// What a client sends behind a request that waits is served after its answer, however
+// much of it was read ahead.
+func TestSentAheadOfTheAnswer(t *testing.T) {
+	for _, more := range []int{1, 300} { // of 200 bytes and more each
+		a, let := held(t)
+		n := nodeWith(t, a.addr())
+		conn := dial(t, n)
+		send(t, conn, request(n.url, "loan", patience))
+		testkit.Eventually(t, "the first out", func() bool { return a.seen.Load() == 1 })
+		var text strings.Builder
+		for i := range more {
+			next := request(n.url, "lookup", patience)
+			next.Header.Set("X-Request-Id", fmt.Sprint(i))
+			_ = next.Write(&text)
+		}
+		go func() { _, _ = io.WriteString(conn, text.String()) }()
+		n.looks(t)
+		let()
+		br := bufio.NewReader(conn)
+		for i := range 1 + more {
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatalf("answer %d of %d: %v", i, 1+more, err)
+			}
+			if _, _ = io.Copy(io.Discard, resp.Body); resp.StatusCode != 200 {
+				t.Errorf("answer %d of %d: %d", i, 1+more, resp.StatusCode)
+			}
+		}
+		conn.Close()
+	}
+}
+
+// Who gives an attempt up and who writes it go by one mark, whichever comes first.
+func TestWithdrawnOrBegun(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	u := pool(a.addr())
+	at, do := u.try(patience)
+	at.withdraw()
+	if r, _ := do(); r.code != policy.Moot || a.seen.Load() != 0 || u.open != 0 {
+		t.Errorf("withdrawn: code %d after %d requests, %d open", r.code, a.seen.Load(), u.open)
+	}
+	at, _ = u.try(patience)
+	if at.begin(nil); !at.begun {
+		t.Fatal("not begun")
+	}
+	if at.withdraw(); at.cancelled || !at.leave() {
+		t.Error("withdrawn though it may have been written")
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"log/slog"
-	"net"
 	"time"
 
 	"yardcleat.example/yardcleat/internal/config"
@@ -43,7 +42,7 @@
 	gen     *config.Generation // by which it was read
 	req     *clientRequest     // its connection's, which waits
 	class   *policy.Class
-	conn    net.Conn // the client's
+	client  *clientConn // nil in tests of the loop alone
 	arrived time.Duration
 	budget  time.Duration // how long the client waits
 	cmd     chan command  // room for one: the next is given once the last is done
@@ -282,17 +281,21 @@
 	l.decide(policy.Gone{ID: c.ID})
 }
 
+// left tells whether the client has gone.
+func (c *call) left() bool { return c.client != nil && c.client.gone() }
+
 // look finds the clients that have closed their connections. Nothing more is
-// sent for them; an attempt that is out runs on, since the app server would
-// not stop either.
+// sent for them, nor what is still without a connection; an attempt that may run
+// goes on, since the app server would not stop either.
 func (l *loop) look() {
 	for id, c := range l.calls {
-		if c.conn == nil || peek(c.conn) != peekEnd {
+		if !c.left() {
 			continue
 		}
 		if c.out == nil {
 			l.answer(c, command{})
 		} else {
+			c.out.withdraw()
 			l.forget(c)
 			c.final = &command{}
 		}
@@ -410,7 +413,7 @@
 		l.queue = append(l.queue, moot)
 		return
 	}
-	a := &attempt{id: s.ID, num: c.attempts - 1, server: s.Server, sent: now, deadline: c.due}
+	a := &attempt{id: s.ID, num: c.attempts - 1, server: s.Server, sent: now, deadline: c.due, left: c.left}
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -53,10 +53,11 @@
 // clientConn is a client's connection.
 type clientConn struct {
 	net.Conn
-	in  stream
-	req clientRequest
-	out []byte
-	bad int // requests that couldn't be used since the last that could
+	in    stream
+	ahead ahead
+	req   clientRequest
+	out   []byte
+	bad   int // requests that couldn't be used since the last that could
 
 	// Under the server's mutex.
 	state connState
@@ -166,7 +167,7 @@
 		return nil
 	}
 	cc := &clientConn{Conn: c, since: s.clock.now()}
-	cc.in.src = c
+	cc.in.src = cc
 	s.conns[cc] = struct{}{}
 	return cc
 }
@@ -393,7 +394,8 @@
 	if !s.take(cc) {
 		return false
 	}
-	c.conn = cc.Conn
+	c.client = cc
+	cc.ahead.await()
 	s.events <- c
 	for cmd := range c.cmd {
 		if cmd.attempt == nil {
@@ -415,6 +417,7 @@
 
 // reply answers a request; the connection goes on if both sides want it.
 func (s *server) reply(cc *clientConn, status int, fields, body string) bool {
+	cc.ahead.answered()
 	over := s.draining.Load() || cc.req.over() || s.crowded()
 	if over {
 		fields += "Connection: close\r\n"
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -83,9 +83,12 @@
 	sent     time.Duration // when the module asked for it
 	deadline time.Duration // when it is given up
 	writeBy  time.Duration // written later it might run twice: its repeat would not be known as one
+	left     func() bool   // tells whether the client has gone; nil: it can't
 
 	mu        sync.Mutex
 	cancelled bool
+	withdrawn bool // cancelled before its request was written, and never is written
+	begun     bool // its request may have been written
 	conn      *upConn
 	stopDial  context.CancelFunc
 }
@@ -94,6 +97,20 @@
 func (a *attempt) cancel() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.stop()
+}
+
+// withdraw gives the attempt up unless its request may have been written.
+func (a *attempt) withdraw() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.begun {
+		a.withdrawn = true
+		a.stop()
+	}
+}
+
+func (a *attempt) stop() {
 	a.cancelled = true
 	if a.stopDial != nil {
 		a.stopDial()
@@ -103,14 +120,37 @@
 	}
 }
 
-// hold puts the attempt on a connection; it is false when it was cancelled.
-func (a *attempt) hold(c *upConn) bool {
+// begin puts the attempt on a connection to be written. It is false when it was
+// cancelled, or when its client has gone: who decides that it is not written and who
+// writes it go by one mark.
+func (a *attempt) begin(c *upConn) bool {
+	left := a.left != nil && a.left()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.withdrawn = a.withdrawn || left && !a.cancelled
+	a.conn, a.begun = c, !a.cancelled && !left
+	return a.begun
+}
+
+// leave takes it off its connection; it is false when it was cancelled meanwhile.
+func (a *attempt) leave() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.conn = c
+	a.conn = nil
 	return !a.cancelled
 }
 
+// unsent is how an attempt ended that was not written: one without a client says
+// nothing of the server.
+func (a *attempt) unsent() result {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.withdrawn {
+		return result{code: policy.Moot}
+	}
+	return result{code: policy.ConnectFailed}
+}
+
 // limit takes over a generation's figures, and how many connections may be open. Of connections beyond, the idle ones
 // are closed, the oldest first; the others go as they come to rest.
 func (u *upstream) limit(f *config.File, most int) {
@@ -332,7 +372,7 @@
 		conn, err := u.connect(a, addr)
 		if err != nil {
 			u.discard(nil)
-			return result{code: policy.ConnectFailed}
+			return a.unsent()
 		}
 		c = &upConn{Conn: conn}
 		c.in.src = c
@@ -342,9 +382,9 @@
 	case now >= a.deadline:
 		u.discard(c)
 		return result{code: policy.Moot}
-	case !a.hold(c) || now >= a.writeBy || u.closed(a.server):
+	case now >= a.writeBy || u.closed(a.server) || !a.begin(c):
 		u.discard(c)
-		return result{code: policy.ConnectFailed}
+		return a.unsent()
 	}
 	r, reuse := u.exchange(a, c, req, a.deadline-now)
 	if c.used > 0 {
@@ -352,7 +392,7 @@
 		u.ages.note(now-c.used, u.clock.now()-now, r.code, len(c.in.buf) > 0)
 		u.mu.Unlock()
 	}
-	if !a.hold(nil) { // cancelled: its connection is closed already
+	if !a.leave() { // cancelled: its connection is closed already
 		reuse = false
 		if r.code == policy.Reset || r.code == policy.TimedOut {
 			r.code = policy.Cancelled
