Close every client's connection in one way: end sending, drop what comes, then close

Only what was turned away lingered. All others (shut as idle by a stop, over the bound, for another connection, with a last answer, at a time-out) were closed at once.

Change. linger.go: one way for all, half a second and 256 KiB at most, no request worked on behind the end of sending, an eighth of the clients' descriptors for connections that are being closed; beyond it the oldest of them goes at once. The read deadline is set under the mutex that says whether a connection is being closed, so a wake is never lost. A connection over the bound goes the same way instead of a reset.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"yardcleat.example/yardcleat/internal/testkit"
 	"yardcleat.example/yardcleat/policy"
@@ -35,6 +36,13 @@
 	testkit.Eventually(t, "two looks", func() bool { return r.loop.pulse.looks.Load() >= from+2 })
 }
 
+// alone waits until no client is connected.
+func (r *running) alone(t *testing.T) {
+	t.Helper()
+	http.DefaultClient.CloseIdleConnections()
+	testkit.Eventually(t, "no connection", func() bool { open, _ := r.server.state(); return open == 0 })
+}
+
 // idle waits until the edge node has no attempt out.
 func (r *running) idle(t *testing.T) {
 	t.Helper()
@@ -157,3 +165,86 @@
 		t.Error("withdrawn though it may have been written")
 	}
 }
+
+// dialNarrow connects a client whose system takes in little that it has not read: the
+// rest of a long answer waits at the edge node's.
+func dialNarrow(t *testing.T, n *running) net.Conn {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	c, err := d.Dial("tcp", n.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// Closed over bytes that nobody has read a connection is reset, and the reset takes
+// along an answer that the client has not read yet. However an edge node ends a
+// connection, the client that sends into the close gets all that was written, and an end.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	const crossing = "GET /lookup HTTP/1.1\r\nHost: a\r\nX-Request-Id: crossed\r\n\r\n"
+	for name, end := range map[string]func(n *running, c net.Conn){
+		"over the bound": func(n *running, _ net.Conn) { n.server.keepTo(0) },
+		"stopping":       func(n *running, _ net.Conn) { n.server.shutIdle(0) },
+		"for another": func(n *running, _ net.Conn) {
+			n.server.mu.Lock()
+			n.server.shutOne()
+			n.server.mu.Unlock()
+		},
+		"with its answer":      nil,
+		"turned away":          func(_ *running, c net.Conn) { _, _ = io.WriteString(c, "NONSENSE\r\n\r\n") },
+		"half a request there": func(n *running, c net.Conn) { _, _ = io.WriteString(c, crossing[:20]); n.server.shutIdle(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := newApp(t, answer("200 OK", "", strings.Repeat("h", mostBody)))
+			n := nodeWith(t, a.addr())
+			n.alone(t)
+			c := dialNarrow(t, n)
+			r := request(n.url, "lookup", patience)
+			if end == nil {
+				r.Header.Set("Connection", "close")
+			}
+			if err := r.Write(c); err != nil {
+				t.Fatal(err)
+			}
+			is := func(want func(cc *clientConn) bool) func() bool {
+				return func() bool {
+					n.server.mu.Lock()
+					defer n.server.mu.Unlock()
+					for cc := range n.server.conns {
+						return want(cc)
+					}
+					return want(nil)
+				}
+			}
+			testkit.Eventually(t, "the answer written", is(func(cc *clientConn) bool {
+				return cc != nil && (cc.good && cc.state == connIdle || cc.shut)
+			}))
+			if end != nil {
+				end(n, c)
+			}
+			testkit.Eventually(t, "the close", is(func(cc *clientConn) bool { return cc == nil || cc.shut }))
+			// The client has read nothing yet; what it sends now crosses the close.
+			if _, err := io.WriteString(c, crossing); err != nil {
+				t.Errorf("sending into the close: %v", err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), r)
+			if err != nil {
+				t.Fatalf("the answer is lost: %v", err)
+			}
+			if b, err := io.ReadAll(resp.Body); len(b) != mostBody || err != nil {
+				t.Errorf("%d bytes of the answer, then %v", len(b), err)
+			}
+			if _, err := io.Copy(io.Discard, c); err != nil {
+				t.Errorf("the connection ended with %v", err)
+			}
+			if a.seen.Load() != 1 {
+				t.Error("a request that crossed the close was sent on")
+			}
+		})
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -27,9 +26,6 @@
 	acceptMost   = time.Second
 	mostBad      = 3                      // requests in a row that can't be used, then the connection is closed
 	badPause     = 100 * time.Millisecond // before the next is read: one client must not take the core from others
-
-	lingerFor  = 500 * time.Millisecond // a client that still sends is given so long to read why not
-	lingerMost = 256 << 10              // bytes
 )
 
 // server is the clients' side: it reads their requests, hands them to the
@@ -45,8 +41,9 @@
 
 	mu     sync.Mutex
 	most   int // connections kept open at once
+	spare  int // and so many more that are being closed
 	conns  map[*clientConn]struct{}
-	shut   int           // of them, closed here and not yet let go
+	shut   int           // of them, being closed
 	active time.Duration // when a request was last taken
 }
 
@@ -64,7 +61,9 @@
 	since time.Duration
 	good  bool // a request that could be used has come
 	probe bool // or else one for readiness, which nobody loses
-	shut  bool // closed by this edge node while no request was taken on it
+	shut  bool // this edge node sends nothing more on it, and takes no request
+	// closed without waiting: others needed its descriptor
+	closed bool
 }
 
 type connState int
@@ -73,7 +72,6 @@
 	connIdle    connState = iota
 	connReading           // a request has begun to come
 	connBusy              // one has been taken and not answered
-	connLinger            // turned away
 )
 
 // clientRequest is a request as it came.
@@ -85,30 +83,37 @@
 
 // newServer keeps at most so many connections open at once.
 func newServer(c clock, gen *config.Generation, up *upstream, events chan<- any, most int) *server {
-	s := &server{clock: c, up: up, events: events, most: most, conns: map[*clientConn]struct{}{}}
+	s := &server{clock: c, up: up, events: events, conns: map[*clientConn]struct{}{}}
+	s.bound(most)
 	s.gen.Store(gen)
 	return s
 }
 
+// bound deals out descriptors. The caller holds the mutex, or is alone.
+func (s *server) bound(most int) {
+	s.spare = int(lingerPart * float64(most))
+	s.most = most - s.spare
+}
+
 // keepTo changes how many connections may be open. Of those beyond, what is idle
 // is closed at once, the oldest first, and the others with their next answer.
 func (s *server) keepTo(most int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.most = most
+	s.bound(most)
 	var idle []*clientConn
 	for cc := range s.conns {
-		if !cc.shut && (cc.state == connIdle || cc.state == connLinger) {
+		if !cc.shut && cc.state == connIdle {
 			idle = append(idle, cc)
 		}
 	}
 	slices.SortFunc(idle, func(a, b *clientConn) int { return cmp.Compare(a.since, b.since) })
 	for _, cc := range idle {
-		if len(s.conns)-s.shut > most {
-			s.close(cc)
+		if len(s.conns)-s.shut > s.most {
+			s.end(cc)
 		}
 	}
-	s.tight.Store(len(s.conns)-s.shut > most)
+	s.tight.Store(len(s.conns)-s.shut > s.most)
 }
 
 // crowded tells whether an answered connection has to go.
@@ -132,9 +137,7 @@
 		switch {
 		case err == nil:
 			pause = acceptPause
-			if cc := s.enter(c); cc != nil {
-				go s.talk(cc)
-			}
+			go s.talk(s.enter(c))
 			continue
 		case errors.Is(err, net.ErrClosed):
 			return nil
@@ -162,39 +165,25 @@
 func (s *server) enter(c net.Conn) *clientConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns)-s.shut >= s.most && !s.shutOne() {
-		c.Close()
-		return nil
-	}
+	full := len(s.conns)-s.shut >= s.most && !s.shutOne()
 	cc := &clientConn{Conn: c, since: s.clock.now()}
 	cc.in.src = cc
 	s.conns[cc] = struct{}{}
-	return cc
-}
-
-func (s *server) leave(cc *clientConn) {
-	cc.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cc.shut {
-		s.shut--
+	if full {
+		s.end(cc)
 	}
-	delete(s.conns, cc)
+	return cc
 }
 
-// shutOne closes the connection that is missed least: one that has been turned
-// away, one that has brought nothing of use, then one that is idle; the oldest
-// first.
+// shutOne closes the connection that is missed least: one that has brought nothing
+// of use, then one that is idle; the oldest first.
 func (s *server) shutOne() bool {
 	var least *clientConn
 	rank := func(cc *clientConn) int {
-		switch {
-		case cc.state == connLinger:
-			return 0
-		case !cc.good:
+		if cc.good {
 			return 1
 		}
-		return 2
+		return 0
 	}
 	for cc := range s.conns {
 		if cc.state == connBusy || cc.shut {
@@ -205,17 +194,11 @@
 		}
 	}
 	if least != nil {
-		s.close(least)
+		s.end(least)
 	}
 	return least != nil
 }
 
-func (s *server) close(cc *clientConn) {
-	cc.shut = true
-	s.shut++
-	cc.Close()
-}
-
 // shutIdle closes the connections that have been idle for so long, and those
 // whose requests don't come to an end.
 func (s *server) shutIdle(least time.Duration) {
@@ -225,7 +208,7 @@
 	for cc := range s.conns {
 		age := now - cc.since
 		if !cc.shut && (cc.state == connIdle && age >= least || cc.state == connReading && age >= stopReading) {
-			s.close(cc)
+			s.end(cc)
 		}
 	}
 }
@@ -245,11 +228,16 @@
 	return len(s.conns), s.clock.now() - last
 }
 
-// become notes what a connection does now.
-func (s *server) become(cc *clientConn, state connState) {
+// become notes what a connection does now, and how long it may be read for; 0: as
+// long as before. It is false when the connection is being closed: nothing is read on it.
+func (s *server) become(cc *clientConn, state connState, wait time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if cc.shut {
+		return false
+	}
 	cc.state, cc.since = state, s.clock.now()
+	return wait == 0 || cc.SetReadDeadline(time.Now().Add(wait)) == nil
 }
 
 // take marks the request's connection as busy if it is still open on this
@@ -268,15 +256,13 @@
 // talk serves a connection, one request after another.
 func (s *server) talk(cc *clientConn) {
 	defer s.leave(cc)
-	for wait := firstRequest; ; wait = clientIdle {
+	whole := time.Duration(0) // the first request has its time from the connect on
+	for wait := firstRequest; ; wait, whole = clientIdle, wholeRequest {
 		cc.in.begin()
-		if cc.in.buffered() == 0 {
-			if cc.SetReadDeadline(time.Now().Add(wait)) != nil || cc.in.more() != nil {
-				return // idle for long, or gone
-			}
+		if cc.in.buffered() == 0 && (!s.become(cc, connIdle, wait) || cc.in.more() != nil) {
+			return // idle for long, gone, or being closed
 		}
-		s.become(cc, connReading)
-		if wait != firstRequest && cc.SetReadDeadline(time.Now().Add(wholeRequest)) != nil {
+		if !s.become(cc, connReading, whole) {
 			return
 		}
 		if err := cc.read(); err != nil {
@@ -288,7 +274,6 @@
 		if !s.handle(cc) {
 			return
 		}
-		s.become(cc, connIdle)
 	}
 }
 
@@ -326,19 +311,10 @@
 	return 0
 }
 
-// turnAway answers what can't be read and lets go of the connection. What the
-// client still sends is passed over for a while: were it closed at once, the
-// answer might never reach it.
+// turnAway answers what can't be read; the connection ends with it.
 func (s *server) turnAway(cc *clientConn, status int, err error) {
-	s.become(cc, connLinger)
-	if s.answer(cc, status, "Connection: close\r\n", err.Error()) != nil {
-		return
-	}
-	if tcp, ok := cc.Conn.(*net.TCPConn); !ok || tcp.CloseWrite() != nil {
-		return
-	}
-	if cc.SetReadDeadline(time.Now().Add(lingerFor)) == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(cc.Conn, lingerMost))
+	if s.become(cc, connReading, 0) { // it may be closed meanwhile
+		_ = s.answer(cc, status, "Connection: close\r\n", err.Error())
 	}
 }
 
