Wait for discovery no longer than the grace bears where the agent pushes

What the agent has counts as told whether or not a watch is open, but a watch that was swallowed was found out after 4 s (watchWait and watchSlack), any other call after 2 s, and up to 0.4 s went by between calls: after an outage a change was heard up to 4 s after it counted as told, with 2 s of grace, and 0.25 s on another customer's site.

The pacing is worked out from the grace in force where lists are pushed (calls cost nothing there): wait, slack, answer and pause sum to three quarters of it. Where they are asked for it stays as it was. The first call behind a failure waits for no news, and a version that goes back is asked for whole. The file's grace is taken over at a reload. The tests' registry heeds timeout_ms now, as the protocol says.

TestChangesAreHeardWithinTheGrace plays outages, one and two silent watches in synctest from 61 moments with three graces; it fails with the old pacing, and without the call that does not wait. Ruled out: an answer of the address before that arrives after a move (one goroutine follows one address after the other, and looks at its context behind each answer).

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"yardcleat.example/yardcleat/internal/config"
 	"yardcleat.example/yardcleat/internal/roster"
 	"yardcleat.example/yardcleat/policy"
 )
@@ -21,15 +22,46 @@
 )
 
 const (
-	watchWait        = 3 * time.Second // a watch is answered by then, with or without news
-	watchSlack       = time.Second
-	watchPause       = 50 * time.Millisecond // a watch goes on if the next call comes within 200 ms
-	leastBackoff     = 25 * time.Millisecond
-	mostBackoff      = 400 * time.Millisecond
-	mostListBytes    = 4 << 20
-	discoveryTimeout = 2 * time.Second
+	watchPause    = 50 * time.Millisecond // a watch goes on if the next call comes within 200 ms
+	leastBackoff  = 25 * time.Millisecond
+	mostListBytes = 4 << 20
+
+	// Of the grace in which sends to a draining server must end, where lists are pushed.
+	waitPart, slackPart, answerPart, backoffPart = 0.25, 0.125, 0.25, 0.125
+	leastWait                                    = 50 * time.Millisecond
+	leastAnswer                                  = 100 * time.Millisecond
 )
 
+// pacing is for how long discovery is waited for. A call that is not answered can't be
+// told from one that has nothing to tell, and a call swallowed by a silent agent is never
+// answered, though the agent may be back a moment later and what it has counts as told.
+type pacing struct {
+	wait    time.Duration // a watch is answered by then, with or without news
+	slack   time.Duration // and is held to be broken so much later
+	answer  time.Duration // all other calls are answered by then
+	backoff time.Duration // the longest pause behind a call that failed
+}
+
+// asked is the pacing where lists are asked for: the service is one for all edge nodes
+// and overrun by many calls. What a silent watch misses counts as told 6 s after it fell
+// silent; it is found out after 4 s, and the call that follows does not wait.
+var asked = pacing{3 * time.Second, time.Second, 2 * time.Second, 400 * time.Millisecond}
+
+// paceFor finds the pacing by a file. Where lists are pushed the agent answers at once and at
+// no cost, and what it has counts as told from the moment it is back. So nothing is waited for
+// longer than the grace bears: the sum of wait, slack, backoff and answer is at most three
+// quarters of it (where that leaves the least of each), and the rest is for the way.
+func paceFor(f *config.File) pacing {
+	if f.Settings.MustAsk {
+		return asked
+	}
+	part := func(p float64, least time.Duration) time.Duration {
+		return max(least, time.Duration(p*float64(f.DrainGrace)))
+	}
+	return pacing{min(asked.wait, part(waitPart, leastWait)), min(asked.slack, part(slackPart, leastWait)),
+		min(asked.answer, part(answerPart, leastAnswer)), min(asked.backoff, part(backoffPart, leastBackoff))}
+}
+
 // discovery follows the list of app servers.
 type discovery struct {
 	tell func(*serverList, policy.MembersKind)
@@ -37,23 +69,27 @@
 
 	mu    sync.Mutex
 	addr  string
+	pace  pacing
 	moved context.CancelFunc // ends the watch at the address before
 }
 
-func newDiscovery(addr string, tell func(*serverList, policy.MembersKind)) *discovery {
-	return &discovery{addr: addr, tell: tell, moved: func() {}, http: http.Client{
-		Transport:     &http.Transport{DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: watchWait},
+func newDiscovery(f *config.File, tell func(*serverList, policy.MembersKind)) *discovery {
+	return &discovery{addr: f.Discovery, pace: paceFor(f), tell: tell, moved: func() {}, http: http.Client{
+		Transport:     &http.Transport{DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: asked.wait},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
-// moveTo ends the open watch and begins anew, with the whole list, at another
-// address.
-func (d *discovery) moveTo(addr string) {
+// apply takes over a file. Where it names another address, the open watch ends and
+// another begins there, with the whole list.
+func (d *discovery) apply(f *config.File) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.addr = addr
-	d.moved()
+	d.pace = paceFor(f)
+	if d.addr != f.Discovery {
+		d.addr = f.Discovery
+		d.moved()
+	}
 }
 
 // run follows the list, at whatever address is in force, until ctx ends.
@@ -71,14 +107,22 @@
 }
 
 // follow fetches the whole list, then watches it, until ctx ends. What can't be
-// had is asked for again soon; the list held stays in force meanwhile.
+// had is asked for again soon, without waiting for news; the list held stays in force
+// meanwhile.
 func (d *discovery) follow(ctx context.Context, addr string) {
 	rev, have, backoff, down, bad := int64(0), false, leastBackoff, false, 0
 	for ctx.Err() == nil {
-		query, limit := "", discoveryTimeout
+		d.mu.Lock()
+		pace := d.pace
+		d.mu.Unlock()
+		query, limit := "", pace.answer
 		if have {
-			query = fmt.Sprintf("?since=%d&timeout_ms=%d", rev, watchWait.Milliseconds())
-			limit = watchWait + watchSlack
+			wait := pace.wait
+			if down {
+				wait = 0
+			}
+			query = fmt.Sprintf("?since=%d&timeout_ms=%d", rev, wait.Milliseconds())
+			limit = max(pace.answer, wait+pace.slack)
 		}
 		began := time.Now()
 		l, err := d.get(ctx, "http://"+addr+"/v1/servers"+query, limit)
@@ -92,7 +136,7 @@
 			down = true
 			d.tell(nil, policy.AskFailed)
 			sleep(ctx, backoff)
-			backoff = min(2*backoff, mostBackoff)
+			backoff = min(2*backoff, pace.backoff)
 			continue
 		}
 		if down {
@@ -105,14 +149,15 @@
 		if l.Bad != bad && l.Bad > 0 {
 			slog.Warn("lines of discovery's list passed over", "lines", l.Bad, "first", l.BadWhy)
 		}
-		rev, bad = l.Rev, l.Bad
+		bad = l.Bad
 		switch {
 		case l.All || !have:
 			d.tell(l, policy.Whole)
 		case len(l.Targets) > 0:
 			d.tell(l, policy.Changes)
 		}
-		have = true
+		// A version that goes back is another's: what changed since is not known of it.
+		rev, have = l.Rev, l.All || !have || l.Rev >= rev
 	}
 }
 
--- /dev/null
+++ b/internal/node/discovery_test.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yardcleat.example/yardcleat/internal/config"
+	"yardcleat.example/yardcleat/policy"
+)
+
+// pipes is a network of one listener.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	c, ok := <-p
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+func (p pipes) Close() error   { close(p); return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p pipes) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
+	client, agent := net.Pipe()
+	select {
+	case p <- agent:
+		return client, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// agent is discovery in a synctest bubble. Calls that it swallows are never answered,
+// also not once it is back.
+type agent struct {
+	mu     sync.Mutex
+	rev    int64
+	silent bool
+	muted  int           // so many watches that are opened from now on fall silent
+	turn   chan struct{} // closed at a change of any kind
+}
+
+func (a *agent) set(do func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	do()
+	close(a.turn)
+	a.turn = make(chan struct{})
+}
+
+func (a *agent) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	never := func() { <-r.Context().Done() }
+	q := r.URL.Query()
+	ms, _ := strconv.Atoi(q.Get("timeout_ms"))
+	until := time.After(time.Duration(ms) * time.Millisecond)
+	a.mu.Lock()
+	if a.silent {
+		a.mu.Unlock()
+		never()
+		return
+	}
+	if ms > 0 && a.muted > 0 {
+		a.muted--
+		a.mu.Unlock()
+		never()
+		return
+	}
+	for late := false; q.Get("since") == strconv.FormatInt(a.rev, 10) && !late; {
+		turn := a.turn
+		a.mu.Unlock()
+		select {
+		case <-turn:
+		case <-until:
+			late = true
+		case <-r.Context().Done():
+			return
+		}
+		if a.mu.Lock(); a.silent {
+			a.mu.Unlock()
+			never()
+			return
+		}
+	}
+	l := serverList{Rev: a.rev, All: true, Targets: []target{serving("s-00000001", "10.0.0.1:1")}}
+	a.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(l)
+}
+
+// What the agent has counts as told, whether or not it was heard: work out how late a
+// change can be heard, whatever moment an outage, a silent watch or two in a row begin at,
+// and with graces long and short. All is in simulated time.
+func TestChangesAreHeardWithinTheGrace(t *testing.T) {
+	const way = graceMargin // what sending, the loop and the last write may take
+	type day struct {
+		name string
+		play func(a *agent, from time.Duration) (toldBy time.Duration) // since the play's begin
+	}
+	days := []day{
+		{"an outage", func(a *agent, from time.Duration) time.Duration {
+			time.Sleep(from)
+			a.set(func() { a.silent = true })
+			time.Sleep(from/2 + time.Millisecond)
+			a.set(func() { a.silent, a.rev = false, 2 })
+			return 0
+		}},
+		{"a silent watch", func(a *agent, from time.Duration) time.Duration {
+			time.Sleep(from)
+			a.set(func() { a.muted, a.rev = 1, 2 })
+			time.Sleep(time.Millisecond)
+			a.set(func() { a.rev = 3 }) // missed by the watch that was just opened
+			return 6 * time.Second
+		}},
+		{"two silent watches", func(a *agent, from time.Duration) time.Duration {
+			time.Sleep(from)
+			a.set(func() { a.muted, a.rev = 2, 2 })
+			time.Sleep(time.Millisecond)
+			a.set(func() { a.rev = 3 })
+			return 6 * time.Second
+		}},
+	}
+	for _, ask := range []bool{false, true} {
+		for _, grace := range []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, 2 * time.Second} {
+			for _, d := range days {
+				if ask && d.name == "an outage" {
+					continue // of the agent that pushes
+				}
+				for from := time.Duration(0); from < 5*time.Second; from += 83 * time.Millisecond {
+					synctest.Test(t, func(t *testing.T) {
+						late := hearsAfter(t, ask, grace, from, d.play)
+						if late > grace-way {
+							t.Errorf("asked for %v, grace %v, %s from %v: heard %v after it was told", ask, grace, d.name, from, late)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// hearsAfter plays and returns how long after it counted as told the last change was heard.
+func hearsAfter(t *testing.T, ask bool, grace, from time.Duration, play func(*agent, time.Duration) time.Duration) time.Duration {
+	f := &config.File{Discovery: "agent", DrainGrace: grace, Settings: policy.Settings{MustAsk: ask}}
+	network, a := make(pipes), &agent{rev: 1, turn: make(chan struct{})}
+	srv := &http.Server{Handler: a}
+	go func() { _ = srv.Serve(network) }()
+	type word struct {
+		rev int64
+		at  time.Time
+	}
+	heard := make(chan word, 1000)
+	d := newDiscovery(f, func(l *serverList, _ policy.MembersKind) {
+		if l != nil {
+			heard <- word{l.Rev, time.Now()}
+		}
+	})
+	d.http.Transport.(*http.Transport).DialContext = network.DialContext
+	ctx, end := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { d.run(ctx); close(done) }()
+	told := play(a, from)
+	a.mu.Lock()
+	last := a.rev
+	a.mu.Unlock()
+	by := time.Now().Add(told)
+	w := word{}
+	for limit := time.After(time.Minute); w.rev != last; {
+		select {
+		case w = <-heard:
+		case <-limit:
+			t.Fatalf("revision %d never heard", last)
+		}
+	}
+	end()
+	<-done
+	_ = srv.Close()
+	return w.at.Sub(by)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 		n.closePeers()
 		return nil, err
 	}
-	n.disc = newDiscovery(cfg.Discovery, func(l *serverList, kind policy.MembersKind) {
+	n.disc = newDiscovery(cfg, func(l *serverList, kind policy.MembersKind) {
 		n.loop.post(members{l, kind})
 	})
 	if kept != nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -139,13 +139,11 @@
 // onApply puts a generation's limits in force outside the module. The loop calls
 // it between two events.
 func (n *Node) onApply(next *config.Generation) {
-	was := n.server.gen.Swap(next)
+	n.server.gen.Store(next)
 	clients, servers := descriptors(next.File)
 	n.up.limit(next.File, servers)
 	n.server.keepTo(clients)
-	if next.File.Discovery != was.File.Discovery {
-		n.disc.moveTo(next.File.Discovery)
-	}
+	n.disc.apply(next.File)
 }
 
 // sleep waits; it is false when ctx ended first.
