Keep no connection to a process that was replaced, and no repeat past its window

Cause. upstream.keep compared the address alone: a connection in use while its server started anew at the same address came back to the pool of the new process, and do wrote to whatever its late dial led to, also where the address was another's by then (take, do, keep). And writeBy was the very end of a keyed class's window: the bytes have a way to go, and a write that blocks could end behind it, up to the attempt's deadline (loop.send, exchange).

Each process of a server has a number of its own; a connection or a dial bears it, and is used only while it is the one in force. A repeat is begun answerMargin before the end of its window, the same way that answers are given, and its write ends with it: a request whose last byte was not written has not run.

TestServerStartsAnewMeanwhile and TestRepeatStaysInItsWindow fail without each of the four. Ruled out: the window counted from too late (ranAt is when the module asked for the first attempt, before any dial of it); the class of the generation before a reload (a call keeps the class it was read by).

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -248,3 +248,77 @@
 		})
 	}
 }
+
+// An app server that starts anew at its old address is another process. What leads to the
+// one before (a connection whose answer comes behind the news, a dial that comes up behind
+// it) must carry nothing more; nor what leads to an address that is another's by now.
+func TestServerStartsAnewMeanwhile(t *testing.T) {
+	for name, next := range map[string]func(addr string) target{
+		"same address":    func(addr string) target { tg := serving("s-00000001", addr); tg.BootMS = 5; return tg },
+		"another address": func(string) target { return serving("s-00000001", "127.0.0.1:1") },
+		"gone, then back": nil,
+	} {
+		news := func(u *upstream, addr string) {
+			if next != nil {
+				u.update(&serverList{Targets: []target{next(addr)}}, false)
+				return
+			}
+			u.update(&serverList{}, true)
+			u.update(&serverList{Targets: []target{serving("s-00000001", addr)}}, false)
+		}
+		a, let := held(t)
+		u := pool(a.addr())
+		_, do := u.try(patience)
+		done := make(chan result)
+		go func() { r, _ := do(); done <- r }()
+		testkit.Eventually(t, "the request out", func() bool { return a.seen.Load() == 1 })
+		news(u, a.addr())
+		let()
+		if r := <-done; r.code != policy.OK || len(u.servers[1].idle) != 0 || u.open != 0 {
+			t.Errorf("%s: code %d, %d idle, %d open: the connection came back", name, r.code, len(u.servers[1].idle), u.open)
+		}
+		begun, letDial := holdDials(u)
+		_, do = u.try(patience)
+		go func() { r, _ := do(); done <- r }()
+		<-begun
+		news(u, a.addr())
+		if next != nil && name == "same address" { // a third process there
+			tg := next(a.addr())
+			tg.BootMS++
+			u.update(&serverList{Targets: []target{tg}}, false)
+		}
+		letDial <- struct{}{}
+		if r := <-done; r.code != policy.ConnectFailed || a.seen.Load() != 1 || u.open != 0 {
+			t.Errorf("%s: code %d, %d requests, %d open behind a late dial", name, r.code, a.seen.Load(), u.open)
+		}
+	}
+}
+
+// A repeat is known as one up to the end of its window: it is not begun so late that its
+// way leads past it, and a write that blocks is broken off before its last byte.
+func TestRepeatStaysInItsWindow(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	u := pool(ln.Addr().String())
+	u.dial.Control = func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, 4<<10) })
+	}
+	now := u.clock.now()
+	at := &attempt{server: 1, sent: now, deadline: now + patience, writeBy: now + 100*time.Millisecond}
+	req := &clientRequest{method: []byte("POST"), target: []byte("/loan"), body: make([]byte, 8<<20)} // nobody reads it
+	if r := u.do(at, req); r.code != policy.ConnectFailed || u.clock.now() >= at.deadline {
+		t.Errorf("code %d after %v", r.code, u.clock.now()-now)
+	}
+
+	l := newLoop(u.clock, nil, u)
+	c := &call{cmd: make(chan command, 1), class: &policy.Class{Effect: policy.Keyed, Window: time.Second}, ranAt: now, due: now + time.Minute}
+	c.ID = 1
+	l.calls[1] = c
+	l.send(policy.Send{ID: 1, Server: 1})
+	if got := (<-c.cmd).attempt.writeBy; got > now+time.Second-answerMargin {
+		t.Errorf("may be written up to %v behind the first, of a window of 1s", got-now)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -419,7 +419,7 @@
 	}
 	a.writeBy = a.deadline
 	if c.ranAt > 0 && c.class.Effect == policy.Keyed {
-		a.writeBy = min(a.writeBy, c.ranAt+c.class.Window)
+		a.writeBy = min(a.writeBy, c.ranAt+c.class.Window-answerMargin) // the bytes have a way to go
 	}
 	c.out = a
 	c.cmd <- command{attempt: a}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -45,6 +45,7 @@
 	most    int // connections at once, to all servers
 	open    int
 	ages    idleAges
+	lives   uint64 // processes of app servers that were heard of
 	servers map[policy.ServerID]*appServer
 }
 
@@ -52,6 +53,7 @@
 type appServer struct {
 	addr  string
 	boot  float64
+	life  uint64 // the process there: another one has another, also under the same id and address
 	state policy.State
 	since time.Duration // when this edge node heard that it drains
 	idle  []*upConn
@@ -60,6 +62,7 @@
 // upConn is a connection to an app server.
 type upConn struct {
 	net.Conn
+	life uint64 // of the process it leads to
 	in   stream
 	head head
 	used time.Duration
@@ -175,12 +178,13 @@
 		listed[id] = true
 		s := u.servers[id]
 		if s == nil {
-			s = &appServer{addr: t.Endpoint, boot: t.BootMS}
+			s = &appServer{}
 			u.servers[id] = s
 		}
-		if t.State != roster.Gone && (s.addr != t.Endpoint || s.boot != t.BootMS) {
+		if s.life == 0 || t.State != roster.Gone && (s.addr != t.Endpoint || s.boot != t.BootMS) {
 			u.dropIdle(s) // they lead to the process before
-			s.addr, s.boot = t.Endpoint, t.BootMS
+			u.lives++
+			s.addr, s.boot, s.life = t.Endpoint, t.BootMS, u.lives
 		}
 		u.become(s, t.PolicyState(), now)
 	}
@@ -210,18 +214,18 @@
 	s.idle = nil
 }
 
-// closed tells whether new work to the server is over. It is so before the
-// grace runs out: the bytes have a way to go yet.
-func (u *upstream) closed(id policy.ServerID) bool {
+// closed tells whether new work to a process of the server is over: another is there by
+// now, or it drains. It is so before the grace runs out: the bytes have a way to go yet.
+func (u *upstream) closed(id policy.ServerID, life uint64) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
-	return s == nil || s.state != policy.Running && u.clock.now()-s.since > max(0, u.grace-graceMargin)
+	return s == nil || s.life != life || s.state != policy.Running && u.clock.now()-s.since > max(0, u.grace-graceMargin)
 }
 
-// take returns the newest idle connection that is still good, or else the
-// address to dial; ok is false when there are too many connections or no such
-// server.
+// take returns the newest idle connection that is still good, or else one to the
+// address that is to be dialed; ok is false when there are too many connections or no
+// such server.
 func (u *upstream) take(id policy.ServerID) (c *upConn, addr string, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -246,7 +250,7 @@
 		return nil, "", false
 	}
 	u.open++
-	return nil, s.addr, true
+	return &upConn{life: s.life}, s.addr, true
 }
 
 // dropOldest closes the connection that is idle for longest.
@@ -266,10 +270,9 @@
 	return true
 }
 
-// discard closes a connection that can't be used again; c may be nil when it
-// never came up.
+// discard closes a connection that can't be used again, or never came up.
 func (u *upstream) discard(c *upConn) {
-	if c != nil {
+	if c.Conn != nil {
 		c.Close()
 	}
 	u.mu.Lock()
@@ -282,7 +285,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
-	if s == nil || s.state != policy.Running || s.addr != c.RemoteAddr().String() || u.open > u.most {
+	if s == nil || s.state != policy.Running || s.life != c.life || u.open > u.most {
 		c.Close()
 		u.open--
 		return
@@ -368,13 +371,12 @@
 	if !ok {
 		return result{code: policy.ConnectFailed}
 	}
-	if c == nil {
-		conn, err := u.connect(a, addr)
-		if err != nil {
-			u.discard(nil)
+	if c.Conn == nil {
+		var err error
+		if c.Conn, err = u.connect(a, addr); err != nil {
+			u.discard(c)
 			return a.unsent()
 		}
-		c = &upConn{Conn: conn}
 		c.in.src = c
 	}
 	now := u.clock.now()
@@ -382,7 +384,7 @@
 	case now >= a.deadline:
 		u.discard(c)
 		return result{code: policy.Moot}
-	case now >= a.writeBy || u.closed(a.server) || !a.begin(c):
+	case now >= a.writeBy || u.closed(a.server, c.life) || !a.begin(c):
 		u.discard(c)
 		return a.unsent()
 	}
@@ -426,7 +428,7 @@
 // bytes written decides: before the last one the request can't have run, after
 // it may have.
 func (u *upstream) exchange(a *attempt, c *upConn, req *clientRequest, left time.Duration) (result, bool) {
-	if c.SetDeadline(u.clock.time(a.deadline)) != nil {
+	if c.SetDeadline(u.clock.time(a.deadline)) != nil || c.SetWriteDeadline(u.clock.time(a.writeBy)) != nil {
 		return result{code: policy.ConnectFailed}, false
 	}
 	msg := buffers.Get().(*[]byte)
