--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -275,7 +275,7 @@
 		news(u, a.addr())
 		let()
 		if r := <-done; r.code != policy.OK || len(u.servers[1].idle) != 0 || u.open != 0 {
-			t.Errorf("%s: code %d, %d idle, %d open: the connection came back", name, r.code, len(u.servers[1].idle), u.open)
+			t.Fatalf("%s: code %d, %d idle, %d open: the connection came back", name, r.code, len(u.servers[1].idle), u.open)
 		}
 		begun, letDial := holdDials(u)
 		_, do = u.try(patience)
