Take an answer without a length as whole where the connection ends cleanly behind it

Every answer that only the end of the connection ends was held as broken (exchange: 200 and not framed). The protocol has a connection stay alive unless one side says Connection: close, and the standing test says that a reset is no end: so an answer that says close and ends with an end of sending is whole, as HTTP/1.1 has it.

One that does not say close is still broken.

--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -220,6 +220,22 @@
 	return body, nil
 }
 
+// rest reads the body that the end of the connection ends.
+func (s *stream) rest() ([]byte, error) {
+	for {
+		if s.buffered() > mostBody {
+			return nil, errLongBody
+		}
+		switch err := s.more(); err {
+		case nil:
+		case io.EOF:
+			return s.take(s.buffered())
+		default:
+			return nil, err
+		}
+	}
+}
+
 // trailer passes over what follows the last chunk.
 func (s *stream) trailer() error {
 	for range mostFields {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -469,8 +469,9 @@
 	return r, reuse
 }
 
-// answer reads an answer. One that only the end of the connection would end is
-// not framed, and its body is left unread.
+// answer reads an answer. One without a length ends with the connection if it says that
+// this one ends: by an end of sending, since a reset is a break. Else its end can't be
+// told, it is not framed, and its body is left unread.
 func (c *upConn) answer() (status int, body []byte, framed bool, err error) {
 	for range mostInterim + 1 {
 		if err = c.in.readHead(&c.head, answerStart); err != nil {
@@ -488,6 +489,9 @@
 			continue
 		case status == 204 || status == 304:
 			return status, nil, true, nil
+		case c.head.length == -2 && status == 200 && c.head.has("Connection", "close"):
+			body, err = c.in.rest()
+			return status, body, true, err
 		case c.head.length == -2:
 			return status, nil, false, nil
 		}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -51,6 +51,13 @@
 			return true
 		}
 	}
+	reset := func(text string) func(net.Conn, *http.Request, string) bool {
+		return func(c net.Conn, _ *http.Request, _ string) bool {
+			_, _ = c.Write([]byte(text))
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+	}
 	for name, c := range map[string]struct {
 		do   func(net.Conn, *http.Request, string) bool
 		want policy.Code
@@ -62,18 +69,23 @@
 			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n0\r\n\r\n"))
 			return true
 		}, policy.OK, true},
-		"error":            {answer("500 No", "", ""), policy.Error, true},
-		"turned away":      {answer("503 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
-		"over already":     {answer("504 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
-		"503 may have run": {answer("503 No", "", ""), policy.Error, true},
-		"504 may have run": {answer("504 No", "X-Not-Run: 0\r\n", ""), policy.Error, true},
-		"another 2xx":      {answer("202 Later", "", ""), policy.Error, true},
-		"break":            {raw(""), policy.Reset, false},
-		"break in headers": {raw("HTTP/1.1 200 OK\r\nContent-Le"), policy.Reset, false},
-		"break in body":    {raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhits"), policy.Reset, false},
-		"break in chunks":  {raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n"), policy.Reset, false},
-		"no end told":      {raw("HTTP/1.1 200 OK\r\n\r\nhits"), policy.Reset, false},
-		"not HTTP":         {raw("hello\r\n\r\n"), policy.Reset, false},
+		"error":              {answer("500 No", "", ""), policy.Error, true},
+		"turned away":        {answer("503 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
+		"over already":       {answer("504 No", "X-Not-Run: 1\r\n", ""), policy.Full, true},
+		"turned away, reset": {reset("HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nConnection: close\r\n\r\nno"), policy.Full, false},
+		"503 may have run":   {answer("503 No", "", ""), policy.Error, true},
+		"504 may have run":   {answer("504 No", "X-Not-Run: 0\r\n", ""), policy.Error, true},
+		"another 2xx":        {answer("202 Later", "", ""), policy.Error, true},
+		"break":              {raw(""), policy.Reset, false},
+		"break in headers":   {raw("HTTP/1.1 200 OK\r\nContent-Le"), policy.Reset, false},
+		"break in body":      {raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhits"), policy.Reset, false},
+		"break in chunks":    {raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhits\r\n"), policy.Reset, false},
+		"no end told":        {raw("HTTP/1.1 200 OK\r\n\r\nhits"), policy.Reset, false},
+		"ended by the close": {raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhits"), policy.OK, false},
+		"reset, no length":   {reset("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhits"), policy.Reset, false},
+		"endless body":       {raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("h", mostBody+1)), policy.Reset, false},
+		"stalled, no length": {stays("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhits"), policy.Reset, false},
+		"not HTTP":           {raw("hello\r\n\r\n"), policy.Reset, false},
 		// Spoilt answers, on connections that stay open: the deadline must not be waited for.
 		"noise":            {stays("\x88\xdb\xce@>4"), policy.Reset, false},
 		"no number":        {stays("HTTP/1.1 2x0 OK\r\nContent-Length: 4\r\n\r\nhits"), policy.Reset, false},
