--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -1,4 +1,4 @@
-// Package admin is the operators' door to an edge node: HTTP on a loopback
+// Package admin is the operators' listener of an edge node: HTTP on a loopback
 // address that the configuration names.
 //
 //	GET  /status    what is in force, what is kept before it, what was refused and why
@@ -42,7 +42,7 @@
 	retryEvery    = time.Second // an address that another has is asked for
 )
 
-// Operated is what the door opens to.
+// Operated is what is behind the listener.
 type Operated interface {
 	Status() node.Status
 	Check(raw []byte) error
@@ -51,7 +51,7 @@
 	Stay(ctx context.Context) error
 }
 
-// Listen opens the door's address.
+// Listen opens the listener.
 func Listen(addr netip.AddrPort) (net.Listener, error) {
 	if !addr.Addr().IsLoopback() {
 		return nil, fmt.Errorf("admin: %v is not a loopback address", addr)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -12,8 +12,8 @@
 
 const (
 	phaseServing phase = iota
-	leaving            // not ready, but the front still sends: the door is open
-	finishing          // the door is shut, what was taken is answered
+	leaving            // not ready, but the front still sends: the listener is open
+	finishing          // the listener is closed, what was taken is answered
 	stopped
 )
 
@@ -24,7 +24,7 @@
 // The steps of a planned stop. Clients go on coming for up to 0.4 s after the
 // signal.
 const (
-	stopShutIdle = 250 * time.Millisecond // idle connections are closed while new ones still find an open door
+	stopShutIdle = 250 * time.Millisecond // idle connections are closed while new ones still find a listener
 	stopAccept   = 550 * time.Millisecond
 	stopQuiet    = 100 * time.Millisecond
 	stopReading  = 2 * time.Second // a request that has begun to come by then is given so long
@@ -42,10 +42,10 @@
 
 // steps is what is to be done now.
 type steps struct {
-	shutIdle bool // close the connections that are idle
-	shutDoor bool // accept no further ones
-	giveUp   bool // answer what waits for a server: it may be asked for elsewhere
-	end      bool
+	shutIdle     bool // close the connections that are idle
+	shutListener bool // accept no further ones
+	giveUp       bool // answer what waits for a server: it may be asked for elsewhere
+	end          bool
 }
 
 // signal takes a request to stop; a second one hastens: nothing is waited for
@@ -76,16 +76,16 @@
 	case leaving:
 		s.shutIdle = d.hastened || past >= stopShutIdle
 		if (d.hastened || past >= stopAccept) && quiet >= stopQuiet {
-			d.phase, s.shutDoor = finishing, true
+			d.phase, s.shutListener = finishing, true
 		}
-	case finishing: // what came through the door as it shut has been counted by now
+	case finishing: // what came in as the listener was closed has been counted by now
 		s.shutIdle = true
 		if open == 0 && quiet >= stopQuiet {
 			d.phase, s.end = stopped, true
 		}
 	}
 	if (d.phase == leaving || d.phase == finishing) && past >= stopMost {
-		s.shutDoor = s.shutDoor || d.phase == leaving
+		s.shutListener = s.shutListener || d.phase == leaving
 		d.phase, s.end = stopped, true
 	}
 	return s
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -30,13 +30,13 @@
 			{now: 10 * ms, open: 1, quiet: time.Second, want: leaving},
 			{now: 250 * ms, open: 1, quiet: time.Second, want: leaving, steps: steps{shutIdle: true}},
 			{now: 549 * ms, quiet: time.Second, want: leaving, steps: steps{shutIdle: true}},
-			{now: 550 * ms, quiet: time.Second, want: finishing, steps: steps{shutIdle: true, shutDoor: true}},
+			{now: 550 * ms, quiet: time.Second, want: finishing, steps: steps{shutIdle: true, shutListener: true}},
 			{now: 560 * ms, quiet: time.Second, want: stopped, steps: steps{shutIdle: true, end: true}},
 		},
 		"a client goes on": {
 			{now: 0, sig: true, want: leaving},
 			{now: 5 * time.Second, open: 1, quiet: 99 * ms, want: leaving, steps: steps{shutIdle: true}},
-			{now: 6 * time.Second, open: 1, quiet: 100 * ms, want: finishing, steps: steps{shutIdle: true, shutDoor: true}},
+			{now: 6 * time.Second, open: 1, quiet: 100 * ms, want: finishing, steps: steps{shutIdle: true, shutListener: true}},
 			{now: 7 * time.Second, open: 1, quiet: time.Second, want: finishing, steps: steps{shutIdle: true}},
 			{now: 8 * time.Second, open: 0, quiet: time.Second, want: stopped, steps: steps{shutIdle: true, end: true}},
 		},
@@ -45,16 +45,16 @@
 			{now: 20 * ms, sig: true, want: leaving, steps: steps{giveUp: true}},
 			{now: 30 * ms, open: 1, quiet: 50 * ms, want: leaving, steps: steps{shutIdle: true}},
 			{now: 40 * ms, sig: true, want: leaving},
-			{now: 100 * ms, open: 1, quiet: 100 * ms, want: finishing, steps: steps{shutIdle: true, shutDoor: true}},
+			{now: 100 * ms, open: 1, quiet: 100 * ms, want: finishing, steps: steps{shutIdle: true, shutListener: true}},
 			{now: 110 * ms, open: 0, quiet: 110 * ms, want: stopped, steps: steps{shutIdle: true, end: true}},
 		},
 		"never quiet": {
 			{now: 0, sig: true, want: leaving},
-			{now: stopMost, open: 2, quiet: 0, want: stopped, steps: steps{shutIdle: true, shutDoor: true, end: true}},
+			{now: stopMost, open: 2, quiet: 0, want: stopped, steps: steps{shutIdle: true, shutListener: true, end: true}},
 		},
 		"never answered": {
 			{now: 0, sig: true, want: leaving},
-			{now: time.Second, open: 2, quiet: time.Second, want: finishing, steps: steps{shutIdle: true, shutDoor: true}},
+			{now: time.Second, open: 2, quiet: time.Second, want: finishing, steps: steps{shutIdle: true, shutListener: true}},
 			{now: stopMost, open: 2, quiet: time.Second, want: stopped, steps: steps{shutIdle: true, end: true}},
 		},
 	} {
@@ -103,7 +103,7 @@
 	}), func() { close(hold) }
 }
 
-// A planned stop that is called off, while the door is open and once it is shut,
+// A planned stop that is called off, while the listener is open and once it is shut,
 // leaves an edge node that serves as before, and answers what was open.
 func TestStopCalledOff(t *testing.T) {
 	a, let := held(t)
@@ -233,7 +233,7 @@
 	}()
 	testkit.Eventually(t, "the request out", func() bool { return a.seen.Load() == 1 })
 	n.stop()
-	testkit.Eventually(t, "the door shut", func() bool { return n.Status().Phase == finishing.String() })
+	testkit.Eventually(t, "the listener closed", func() bool { return n.Status().Phase == finishing.String() })
 	other, err := net.Listen("tcp", cfg.Current().File.Listen)
 	if err != nil {
 		t.Fatal(err)
@@ -252,7 +252,7 @@
 }
 
 // The front asks for readiness for as long as an edge node leaves, each time on a
-// new connection: that must not keep the door open.
+// new connection: that must not keep the listener open.
 func TestProbesDontHoldUpAStop(t *testing.T) {
 	a := newApp(t, answer("200 OK", "", "a"))
 	n := nodeWith(t, a.addr())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -190,7 +190,7 @@
 			if err != nil {
 				return fmt.Errorf("serve: %w", err)
 			}
-			continue // the door was shut
+			continue // the listener was closed
 		case <-term:
 			was := d.phase
 			if s = d.signal(n.loop.clock.now()); s.giveUp {
@@ -229,7 +229,7 @@
 		if s.shutIdle {
 			n.server.shutIdle(stopQuiet)
 		}
-		if s.shutDoor {
+		if s.shutListener {
 			n.listener.Close()
 		}
 	}
@@ -245,7 +245,7 @@
 	n.server.draining.Store(p != phaseServing)
 }
 
-// listen opens the clients' door.
+// listen opens the clients' listener.
 func (n *Node) listen() error {
 	lc := net.ListenConfig{KeepAlive: -1} // time-outs of our own are shorter: four system calls saved at each accept
 	ln, err := lc.Listen(n.ctx, "tcp", n.cfg.Listen)
