Accept what the system has accepted before a stop closes the listener

Cause. serve of a planned stop closed the listener outright (node.go): connections that the system had accepted and nobody here had are reset then, with the requests on them, which count as taken. Rare, since a stop waits 0.55 s and for 0.1 s of quiet, but quiet is counted from requests seen.

The listener's deadline wakes who accepts; that goroutine accepts for 50 ms more (a full queue takes half of it) and closes the listener itself. The phase is shown as finishing only behind that. A stop that was called off too late finds it closed, as before.

TestListenerClosesBehindItsQueue holds the accepting goroutine, queues 20 connections with requests and sets the deadline: it fails where the first deadline closes.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -322,3 +322,27 @@
 		t.Errorf("may be written up to %v behind the first, of a window of 1s", got-now)
 	}
 }
+
+// A connection that the system has accepted counts as taken, also where nobody has
+// accepted it here when the listener is closed.
+func TestListenerClosesBehindItsQueue(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.addr())
+	n.alone(t)
+	n.server.mu.Lock() // who accepts comes no further than the first
+	answers := []func() *http.Response{}
+	for i := range 20 {
+		r := request(n.url, "lookup", patience)
+		r.Header.Set("X-Request-Id", fmt.Sprint(i))
+		answers = append(answers, send(t, dial(t, n), r))
+	}
+	if err := n.listener.SetDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	n.server.mu.Unlock()
+	for i, answered := range answers {
+		if r := answered(); r.StatusCode != 200 && r.StatusCode != 429 {
+			t.Errorf("request %d: %d", i, r.StatusCode)
+		}
+	}
+}
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -26,6 +26,7 @@
 const (
 	stopShutIdle = 250 * time.Millisecond // idle connections are closed while new ones still find a listener
 	stopAccept   = 550 * time.Millisecond
+	lastAccept   = 50 * time.Millisecond // to accept what has come: a queue of 512 takes half of it
 	stopQuiet    = 100 * time.Millisecond
 	stopReading  = 2 * time.Second // a request that has begun to come by then is given so long
 	stopMost     = 65 * time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -40,7 +41,7 @@
 	up       *upstream
 	peers    *peers
 	disc     *discovery
-	listener net.Listener
+	listener *net.TCPListener
 	phase    atomic.Int32
 	stay     chan chan error // planned stops called off
 }
@@ -187,10 +188,7 @@
 		s = steps{}
 		select {
 		case err := <-served:
-			if err != nil {
-				return fmt.Errorf("serve: %w", err)
-			}
-			continue // the listener was closed
+			return fmt.Errorf("serve: %w", cmp.Or(err, net.ErrClosed)) // not by a stop
 		case <-term:
 			was := d.phase
 			if s = d.signal(n.loop.clock.now()); s.giveUp {
@@ -222,6 +220,11 @@
 			open, quiet := n.server.state()
 			s = d.step(n.loop.clock.now(), open, quiet)
 		}
+		if s.shutListener && n.listener.SetDeadline(time.Unix(1, 0)) == nil { // else a stop that was called off too late closed it
+			if err := <-served; err != nil {
+				return fmt.Errorf("serve: %w", err)
+			}
+		}
 		n.enter(d.phase)
 		if s.giveUp {
 			n.loop.post(giveUp(true))
@@ -229,9 +232,6 @@
 		if s.shutIdle {
 			n.server.shutIdle(stopQuiet)
 		}
-		if s.shutListener {
-			n.listener.Close()
-		}
 	}
 	if open, _ := n.server.state(); open > 0 {
 		return fmt.Errorf("planned stop: %d %w", open, ErrUnanswered)
@@ -252,7 +252,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	n.listener = ln
+	n.listener = ln.(*net.TCPListener)
 	return nil
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -128,10 +128,13 @@
 	return over
 }
 
-// serve accepts connections until the listener is closed. An error ends it only where
+// serve accepts connections until the listener is closed. Its deadline has it close the
+// listener itself, behind what has come by then: what the system has accepted counts as
+// taken, and closed over it would be reset. An error ends it only where
 // the listener is none any more. All others pass: the system hands on what went wrong
 // on the way of a connection that nobody has accepted yet, whatever that is.
 func (s *server) serve(ln net.Listener) error {
+	last := false
 	for pause := acceptPause; ; {
 		c, err := ln.Accept()
 		switch {
@@ -141,6 +144,13 @@
 			continue
 		case errors.Is(err, net.ErrClosed):
 			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			d, ok := ln.(interface{ SetDeadline(time.Time) error })
+			if last || !ok || d.SetDeadline(time.Now().Add(lastAccept)) != nil {
+				return ln.Close()
+			}
+			last = true
+			continue
 		case among(err, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK):
 			return err
 		case among(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM): // all are in use
