--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -186,6 +186,16 @@
 	Snapshots  *snapshots  `json:"snapshots"` // null: none are kept
 	Duties     []duty      `json:"duties,omitempty"`
 	Loop       loopLag     `json:"loop"`
+	Left       leavers     `json:"clients_left"`
+}
+
+// leavers counts requests whose client left before their first attempt, by where that was
+// noticed. None of them was sent on, but for the hidden: these may have had no client.
+type leavers struct {
+	Held    int64 `json:"held"`
+	Dialing int64 `json:"dialing"`
+	Writing int64 `json:"before_write"`
+	Hidden  int64 `json:"sent_on_unseen"`
 }
 
 // loopLag is how late the event loop is, in milliseconds. One that stands still is
@@ -242,7 +252,8 @@
 func statusOf(s node.Status) status {
 	out := status{Name: s.Name, Ready: s.Ready, Phase: s.Phase,
 		Generation: generation{s.Current.Number, s.Current.Digest, s.Current.Time},
-		Loop:       loopLag{milliseconds(s.Lag), milliseconds(s.MostLag), s.Looks}}
+		Loop:       loopLag{milliseconds(s.Lag), milliseconds(s.MostLag), s.Looks},
+		Left:       leavers(s.Leavers)}
 	if s.Before != nil {
 		out.Before = &generation{s.Before.Number, s.Before.Digest, s.Before.Time}
 	}
--- a/internal/node/ahead.go
+++ b/internal/node/ahead.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -11,6 +12,15 @@
 // system's buffer, and the end of a client that sends so much is seen with its answer.
 const mostAhead = mostHead
 
+// leavers counts requests by where their client was noticed to have gone before the first
+// attempt was written. None of these is sent on.
+type leavers struct {
+	held    atomic.Int64 // waiting for room, a root or a server
+	dialing atomic.Int64 // its connection to an app server coming up
+	writing atomic.Int64 // right before the write
+	hidden  atomic.Int64 // none of them: sent on where a client that left could not have been seen
+}
+
 // ahead is what a client has sent behind a request that is not answered yet. The end of
 // a connection shows only once all before it is taken in, so whoever wants to know
 // whether the client is still there has to read: the connection's goroutine, which waits
@@ -56,6 +66,13 @@
 	return cc.Conn.Read(b)
 }
 
+// hidden tells whether so much was sent ahead that the client's end can't be seen.
+func (cc *clientConn) hidden() bool {
+	cc.ahead.mu.Lock()
+	defer cc.ahead.mu.Unlock()
+	return len(cc.ahead.buf) >= mostAhead
+}
+
 // gone tells whether the client has closed its connection, ended its sending or broken
 // off. It may be called at any time, waits for nothing, and is false once the
 // request is answered.
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -75,8 +75,8 @@
 		n.looks(t)
 		let <- struct{}{}
 		n.idle(t)
-		if a.seen.Load() != 0 {
-			t.Errorf("%s: sent on for a client that had gone", name)
+		if left := n.Status().Leavers; a.seen.Load() != 0 || left != (Leavers{Dialing: 1}) {
+			t.Errorf("%s: sent on %d times for a client that had gone, %+v", name, a.seen.Load(), left)
 		}
 		n.stop()
 		if err := <-n.done; err != nil {
@@ -86,13 +86,19 @@
 	}
 }
 
+// away is a client that has gone.
+type away struct{}
+
+func (away) gone() bool   { return true }
+func (away) hidden() bool { return false }
+
 // The loop looks now and then; between two looks, and behind a long queue, the check
 // before the write is the only one.
 func TestClientLeavesJustBeforeTheWrite(t *testing.T) {
 	a := newApp(t, answer("200 OK", "", "hits"))
 	u := pool(a.addr())
 	at, do := u.try(patience)
-	at.left = func() bool { return true }
+	at.client = away{}
 	if r, _ := do(); r.code != policy.Moot || a.seen.Load() != 0 || u.open != 0 {
 		t.Errorf("code %d after %d requests, %d open", r.code, a.seen.Load(), u.open)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -104,7 +104,7 @@
 	reread  func(c *call) error          // reads a request anew, by the generation in force
 
 	hasty  bool          // a planned stop was hastened
-	left   bool          // nothing more is to be said or kept
+	ended  bool          // nothing more is to be said or kept
 	keep   *keeper       // nil: no snapshots are kept
 	over   chan struct{} // closed when run has ended
 	events chan any
@@ -112,6 +112,7 @@
 	calls  map[policy.RequestID]*call
 	names  map[string]*call // the same by the clients' ids
 	pulse  pulse
+	left   leavers
 	timers timerHeap
 	timer  *time.Timer
 	wake   time.Duration // when the timer is set for; 0: it is not
@@ -147,7 +148,7 @@
 		case <-l.timer.C:
 			l.wake = 0
 		}
-		if l.fire(); l.left {
+		if l.fire(); l.ended {
 			if l.keep != nil {
 				l.keep.writer.Offer(l.keep.state(l, true))
 			}
@@ -195,7 +196,7 @@
 	case policy.Restore:
 		l.decide(ev)
 	case leave:
-		if l.left = l.left || ev.now; !ev.now {
+		if l.ended = l.ended || ev.now; !ev.now {
 			l.decide(policy.Leave{})
 		}
 	case giveUp:
@@ -257,6 +258,13 @@
 	c, ev := o.c, policy.Outcome{ID: o.a.id, Attempt: o.a.num, Server: o.a.server, Code: o.code,
 		Latency: l.clock.now() - o.a.sent, Load: o.load}
 	c.out = nil
+	switch {
+	case o.a.num > 0:
+	case o.a.left:
+		l.left.writing.Add(1)
+	case o.a.unseen:
+		l.left.hidden.Add(1)
+	}
 	if c.ranAt == 0 && !o.code.NeverRan() {
 		c.ranAt = o.a.sent
 	}
@@ -281,21 +289,23 @@
 	l.decide(policy.Gone{ID: c.ID})
 }
 
-// left tells whether the client has gone.
-func (c *call) left() bool { return c.client != nil && c.client.gone() }
-
 // look finds the clients that have closed their connections. Nothing more is
 // sent for them, nor what is still without a connection; an attempt that may run
 // goes on, since the app server would not stop either.
 func (l *loop) look() {
 	for id, c := range l.calls {
-		if !c.left() {
+		if c.client == nil || !c.client.gone() {
 			continue
 		}
 		if c.out == nil {
+			if c.attempts == 0 {
+				l.left.held.Add(1)
+			}
 			l.answer(c, command{})
 		} else {
-			c.out.withdraw()
+			if c.out.withdraw() && c.out.num == 0 {
+				l.left.dialing.Add(1)
+			}
 			l.forget(c)
 			c.final = &command{}
 		}
@@ -396,7 +406,7 @@
 	case policy.Watch:
 		// The list is watched from the start, asked for or not.
 	case policy.Left:
-		l.left = true
+		l.ended = true
 	case policy.Log:
 		slog.Info(a.Text)
 	}
@@ -413,7 +423,10 @@
 		l.queue = append(l.queue, moot)
 		return
 	}
-	a := &attempt{id: s.ID, num: c.attempts - 1, server: s.Server, sent: now, deadline: c.due, left: c.left}
+	a := &attempt{id: s.ID, num: c.attempts - 1, server: s.Server, sent: now, deadline: c.due}
+	if c.client != nil {
+		a.client = c.client
+	}
 	if s.Timeout > 0 {
 		a.deadline = min(a.deadline, now+s.Timeout)
 	}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -32,8 +32,14 @@
 	Lag     time.Duration // how far the event loop is behind now; it grows while the loop stands still
 	MostLag time.Duration // and the most of the last half to whole minute
 	Looks   int64         // of the loop for clients that have gone, since the start: it gets on as long as they grow
+	Leavers Leavers
 }
 
+// Leavers counts the requests whose client left before their first attempt, by where that
+// was noticed: none of them was sent on. Hidden are those sent on whose client had sent so
+// much ahead that its leaving could not have been seen.
+type Leavers struct{ Held, Dialing, Writing, Hidden int64 }
+
 // Status may be called at any time; it waits for nothing.
 func (n *Node) Status() Status {
 	s := *n.status.Load()
@@ -41,6 +47,8 @@
 	s.Ready, s.Phase = n.server.ready.Load() && p == phaseServing, p.String()
 	s.Lag, s.MostLag = n.loop.pulse.lag(n.loop.clock.now())
 	s.Looks = n.loop.pulse.looks.Load()
+	left := &n.loop.left
+	s.Leavers = Leavers{left.held.Load(), left.dialing.Load(), left.writing.Load(), left.hidden.Load()}
 	if n.duties != nil {
 		s.Duties = n.duties.status()
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -78,6 +78,12 @@
 	return c.Conn.Read(b)
 }
 
+// presence tells of the client that waits for an attempt.
+type presence interface {
+	gone() bool
+	hidden() bool // whether it is there can't be seen
+}
+
 // attempt is one sending of a request to an app server.
 type attempt struct {
 	id       policy.RequestID
@@ -86,12 +92,14 @@
 	sent     time.Duration // when the module asked for it
 	deadline time.Duration // when it is given up
 	writeBy  time.Duration // written later it might run twice: its repeat would not be known as one
-	left     func() bool   // tells whether the client has gone; nil: it can't
+	client   presence      // nil: it can't be asked
 
 	mu        sync.Mutex
 	cancelled bool
 	withdrawn bool // cancelled before its request was written, and never is written
 	begun     bool // its request may have been written
+	left      bool // its client had gone when it would have been
+	unseen    bool // or could not be seen then
 	conn      *upConn
 	stopDial  context.CancelFunc
 }
@@ -103,14 +111,17 @@
 	a.stop()
 }
 
-// withdraw gives the attempt up unless its request may have been written.
-func (a *attempt) withdraw() {
+// withdraw gives the attempt up unless its request may have been written; it is false
+// then, and where it was given up before.
+func (a *attempt) withdraw() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.begun {
-		a.withdrawn = true
-		a.stop()
+	if a.begun || a.cancelled {
+		return false
 	}
+	a.withdrawn = true
+	a.stop()
+	return true
 }
 
 func (a *attempt) stop() {
@@ -127,11 +138,14 @@
 // cancelled, or when its client has gone: who decides that it is not written and who
 // writes it go by one mark.
 func (a *attempt) begin(c *upConn) bool {
-	left := a.left != nil && a.left()
+	gone := a.client != nil && a.client.gone()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.withdrawn = a.withdrawn || left && !a.cancelled
-	a.conn, a.begun = c, !a.cancelled && !left
+	a.conn = c
+	a.left = gone && !a.cancelled
+	a.withdrawn = a.withdrawn || a.left
+	a.begun = !a.cancelled && !gone
+	a.unseen = a.begun && a.client != nil && a.client.hidden()
 	return a.begun
 }
 
