--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -183,3 +183,35 @@
 	_ = srv.Close()
 	return w.at.Sub(by)
 }
+
+// A version that goes back is another list's: it is asked for whole, not for what has
+// changed since.
+func TestVersionGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network, asked := make(pipes), make(chan string, 100)
+		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- r.URL.Query().Get("since")
+			l := serverList{Rev: 9, All: true}
+			if r.URL.Query().Get("since") != "" {
+				time.Sleep(100 * time.Millisecond)
+				l = serverList{Rev: 3, Targets: []target{serving("s-00000001", "10.0.0.1:1")}}
+			}
+			_ = json.NewEncoder(w).Encode(l)
+		})}
+		go func() { _ = srv.Serve(network) }()
+		d := newDiscovery(&config.File{Discovery: "agent", DrainGrace: time.Second}, func(*serverList, policy.MembersKind) {})
+		d.http.Transport.(*http.Transport).DialContext = network.DialContext
+		ctx, end := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { d.run(ctx); close(done) }()
+		for i, want := range []string{"", "9", "", "9"} {
+			if got := <-asked; got != want {
+				t.Errorf("call %d: since %q, want %q", i, got, want)
+			}
+		}
+		end()
+		<-done
+		_ = srv.Close()
+		time.Sleep(time.Second) // for the answer that was being made
+	})
+}
