--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -193,8 +193,8 @@
 	n := start(t, cfg)
 	n.up.mu.Lock()
 	n.up.dial.Control = func(string, string, syscall.RawConn) error {
-		if draw(4) == 0 {
-			time.Sleep(some(600 * time.Millisecond))
+		if draw(2) == 0 {
+			time.Sleep(some(time.Second))
 		}
 		return nil
 	}
@@ -212,7 +212,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case <-time.After(20*time.Millisecond + some(100*time.Millisecond)):
+			case <-time.After(50*time.Millisecond + some(200*time.Millisecond)):
 			}
 			i := draw(len(list))
 			switch draw(8) {
