Free a descriptor at once where an accept finds none

Since every close lingers, the connection that is closed when descriptors are used up kept its own for up to 0.5 s, and each accept 5 ms later closed another (serve, EMFILE). The one that lingers longest is closed outright there. TestDescriptorsUsedUp fails without.

--- a/internal/node/liveness_test.go
+++ b/internal/node/liveness_test.go
@@ -72,6 +72,36 @@
 	}
 }
 
+// Where descriptors are used up one is freed at once and no more than one: a connection
+// that lingered would have the next error come 5 ms later, and another close.
+func TestDescriptorsUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newServer(clock{time.Now()}, nil, nil, nil, 100)
+		d, done := door{make(chan any)}, make(chan error, 1)
+		go func() { done <- s.serve(d) }()
+		var mine []net.Conn
+		for range 3 {
+			c, theirs := net.Pipe()
+			mine = append(mine, c)
+			d.next <- theirs
+		}
+		synctest.Wait()
+		d.next <- syscall.EMFILE
+		synctest.Wait()
+		if open, _ := s.state(); open != 2 {
+			t.Errorf("%d of 3 connections open behind an error", open)
+		}
+		d.next <- nil
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		for _, c := range mine {
+			c.Close()
+		}
+		time.Sleep(time.Second)
+	})
+}
+
 // An address that the process before still has is waited for, but not for ever; any other
 // fault is told at once.
 func TestAddressWaitedFor(t *testing.T) {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -156,6 +156,7 @@
 		case among(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM): // all are in use
 			s.mu.Lock()
 			s.shutOne()
+			s.hasten() // its descriptor is wanted now
 			s.mu.Unlock()
 			pause = acceptPause
 		case pause == acceptPause:
