Have the listener's test play on a listener of its own

Once in 100 runs under -race beside other load it timed out: the edge node ended without its own listener, with requests open, before all were answered.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -334,15 +334,26 @@
 func TestListenerClosesBehindItsQueue(t *testing.T) {
 	a := newApp(t, answer("200 OK", "", "hits"))
 	n := nodeWith(t, a.addr())
-	n.alone(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a second one, since the edge node ends without its own
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- n.server.serve(ln) }()
 	n.server.mu.Lock() // who accepts comes no further than the first
 	answers := []func() *http.Response{}
 	for i := range 20 {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		_ = c.SetDeadline(time.Now().Add(patience))
 		r := request(n.url, "lookup", patience)
 		r.Header.Set("X-Request-Id", fmt.Sprint(i))
-		answers = append(answers, send(t, dial(t, n), r))
+		answers = append(answers, send(t, c, r))
 	}
-	if err := n.listener.SetDeadline(time.Unix(1, 0)); err != nil {
+	if err := ln.(*net.TCPListener).SetDeadline(time.Unix(1, 0)); err != nil {
 		t.Fatal(err)
 	}
 	n.server.mu.Unlock()
@@ -351,4 +362,7 @@
 			t.Errorf("request %d: %d", i, r.StatusCode)
 		}
 	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
 }
