Make further calls beside one that is not answered, so that slow discovery is heard too

A limit that grows would have been swallowed by an outage again.

The call goes on for its 2 s (eight times the quarter, if that is less) and another is made beside it each quarter of the grace, eight at most; the first answer counts. Failures are told of as they come. Where calls cost there is one at a time, as ever.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -30,6 +30,8 @@
 	waitPart, slackPart, answerPart, backoffPart = 0.25, 0.125, 0.25, 0.125
 	leastWait                                    = 50 * time.Millisecond
 	leastAnswer                                  = 100 * time.Millisecond
+
+	mostCalls = 8 // beside one another, of those that are not answered
 )
 
 // pacing is for how long discovery is waited for. A call that is not answered can't be
@@ -38,14 +40,16 @@
 type pacing struct {
 	wait    time.Duration // a watch is answered by then, with or without news
 	slack   time.Duration // and is held to be broken so much later
-	answer  time.Duration // all other calls are answered by then
+	answer  time.Duration // all other calls are answered by then, or another is made beside them
+	patient time.Duration // and given up so long after they were made
 	backoff time.Duration // the longest pause behind a call that failed
 }
 
 // asked is the pacing where lists are asked for: the service is one for all edge nodes
 // and overrun by many calls. What a silent watch misses counts as told 6 s after it fell
 // silent; it is found out after 4 s, and the call that follows does not wait.
-var asked = pacing{3 * time.Second, time.Second, 2 * time.Second, 400 * time.Millisecond}
+var asked = pacing{wait: 3 * time.Second, slack: time.Second, answer: 2 * time.Second, patient: 2 * time.Second,
+	backoff: 400 * time.Millisecond}
 
 // paceFor finds the pacing by a file. Where lists are pushed the agent answers at once and at
 // no cost, and what it has counts as told from the moment it is back. So nothing is waited for
@@ -58,8 +62,9 @@
 	part := func(p float64, least time.Duration) time.Duration {
 		return max(least, time.Duration(p*float64(f.DrainGrace)))
 	}
-	return pacing{min(asked.wait, part(waitPart, leastWait)), min(asked.slack, part(slackPart, leastWait)),
-		min(asked.answer, part(answerPart, leastAnswer)), min(asked.backoff, part(backoffPart, leastBackoff))}
+	answer := min(asked.answer, part(answerPart, leastAnswer))
+	return pacing{wait: min(asked.wait, part(waitPart, leastWait)), slack: min(asked.slack, part(slackPart, leastWait)),
+		answer: answer, patient: min(asked.patient, mostCalls*answer), backoff: min(asked.backoff, part(backoffPart, leastBackoff))}
 }
 
 // discovery follows the list of app servers.
@@ -115,26 +120,31 @@
 		d.mu.Lock()
 		pace := d.pace
 		d.mu.Unlock()
-		query, limit := "", pace.answer
-		if have {
-			wait := pace.wait
-			if down {
-				wait = 0
+		url, began := "http://"+addr+"/v1/servers", time.Now()
+		var l *serverList
+		var err error
+		failed := func(err error) {
+			if !down {
+				slog.Warn("discovery does not answer; the list held stays in force", "err", err)
 			}
-			query = fmt.Sprintf("?since=%d&timeout_ms=%d", rev, wait.Milliseconds())
-			limit = max(pace.answer, wait+pace.slack)
+			down = true
+			d.tell(nil, policy.AskFailed)
+		}
+		switch {
+		case have && down:
+			l, err = d.ask(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=0", url, rev), pace, failed)
+		case have:
+			l, err = d.get(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, rev, pace.wait.Milliseconds()), pace.wait+pace.slack)
+			if err != nil && ctx.Err() == nil {
+				failed(err)
+			}
+		default:
+			l, err = d.ask(ctx, url, pace, failed)
 		}
-		began := time.Now()
-		l, err := d.get(ctx, "http://"+addr+"/v1/servers"+query, limit)
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			if !down {
-				slog.Warn("discovery does not answer; the list held stays in force", "err", err)
-			}
-			down = true
-			d.tell(nil, policy.AskFailed)
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, pace.backoff)
 			continue
@@ -161,6 +171,51 @@
 	}
 }
 
+// ask makes a call that does not wait for news. While it is not answered others are made
+// beside it: it may have been swallowed, and the agent back; or the agent is slow, and to
+// give it up would be to hear nothing. Each call that fails is told of; the error comes
+// when none is out any more.
+func (d *discovery) ask(ctx context.Context, url string, pace pacing, failed func(error)) (*serverList, error) {
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	type answer struct {
+		l   *serverList
+		err error
+	}
+	answers, out := make(chan answer, mostCalls), 0
+	call := func() {
+		out++
+		go func() {
+			l, err := d.get(ctx, url, pace.patient)
+			answers <- answer{l, err}
+		}()
+	}
+	call()
+	again := time.NewTicker(pace.answer)
+	defer again.Stop()
+	if pace.answer == pace.patient { // where calls cost
+		again.Stop()
+	}
+	for {
+		select {
+		case a := <-answers:
+			if out--; a.err == nil {
+				return a.l, nil
+			}
+			if ctx.Err() == nil {
+				failed(a.err)
+			}
+			if out == 0 {
+				return nil, a.err
+			}
+		case <-again.C:
+			if out < mostCalls && ctx.Err() == nil {
+				call()
+			}
+		}
+	}
+}
+
 func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (*serverList, error) {
 	ctx, end := context.WithTimeout(ctx, limit)
 	defer end()
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,6 +185,80 @@
 	return w.at.Sub(by)
 }
 
+// An agent that stays silent is told of, though calls go on being made beside one another;
+// where calls cost there is one at a time.
+func TestSilentAgentIsToldOf(t *testing.T) {
+	for _, ask := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			network := make(pipes)
+			var out, most atomic.Int32
+			srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if n := out.Add(1); n > most.Load() {
+					most.Store(n)
+				}
+				<-r.Context().Done()
+				out.Add(-1)
+			})}
+			go func() { _ = srv.Serve(network) }()
+			told := make(chan time.Time, 1000)
+			began := time.Now()
+			f := &config.File{Discovery: "agent", DrainGrace: 2 * time.Second, Settings: policy.Settings{MustAsk: ask}}
+			d := newDiscovery(f, func(*serverList, policy.MembersKind) { told <- time.Now() })
+			d.http.Transport.(*http.Transport).DialContext = network.DialContext
+			ctx, end := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { d.run(ctx); close(done) }()
+			for range 3 {
+				<-told
+			}
+			if past := time.Since(began); past < 3*time.Second || past > 8*time.Second {
+				t.Errorf("asked for %v: the third failure told of after %v", ask, past)
+			}
+			if n := most.Load(); ask && n != 1 || !ask && (n < 2 || n > mostCalls) {
+				t.Errorf("asked for %v: %d calls beside one another", ask, n)
+			}
+			end()
+			<-done
+			_ = srv.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// An agent that takes longer than a call is expected to is heard all the same.
+func TestSlowAgentIsHeard(t *testing.T) {
+	for _, slow := range []time.Duration{600 * time.Millisecond, 700 * time.Millisecond, 1900 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			network := make(pipes)
+			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(slow)
+				_ = json.NewEncoder(w).Encode(serverList{Rev: 9, All: true})
+			})}
+			go func() { _ = srv.Serve(network) }()
+			heard := make(chan time.Time, 100)
+			began := time.Now()
+			d := newDiscovery(&config.File{Discovery: "agent", DrainGrace: 2 * time.Second}, func(l *serverList, _ policy.MembersKind) {
+				if l != nil {
+					heard <- time.Now()
+				}
+			})
+			d.http.Transport.(*http.Transport).DialContext = network.DialContext
+			ctx, end := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { d.run(ctx); close(done) }()
+			for want := range 3 { // also where watches are held to be broken
+				if at := <-heard; want == 0 && at.Sub(began) > slow+time.Millisecond {
+					t.Errorf("an agent that takes %v was heard after %v", slow, at.Sub(began))
+				}
+			}
+			end()
+			<-done
+			_ = srv.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
 // A version that goes back is another list's: it is asked for whole, not for what has
 // changed since.
 func TestVersionGoesBack(t *testing.T) {
