Close the network of discovery's tests without a race

A dial could meet the close of its channel, which the race detector saw once in 100 runs of TestSilentAgentIsToldOf: in the test's own network alone.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -17,23 +17,32 @@
 )
 
 // pipes is a network of one listener.
-type pipes chan net.Conn
+type pipes struct {
+	next chan net.Conn
+	over chan struct{} // closed with the listener
+}
+
+func newPipes() pipes { return pipes{make(chan net.Conn), make(chan struct{})} }
 
 func (p pipes) Accept() (net.Conn, error) {
-	c, ok := <-p
-	if !ok {
+	select {
+	case c := <-p.next:
+		return c, nil
+	case <-p.over:
 		return nil, net.ErrClosed
 	}
-	return c, nil
 }
-func (p pipes) Close() error   { close(p); return nil }
+
+func (p pipes) Close() error   { close(p.over); return nil }
 func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (p pipes) DialContext(ctx context.Context, _, _ string) (net.Conn, error) {
 	client, agent := net.Pipe()
 	select {
-	case p <- agent:
+	case p.next <- agent:
 		return client, nil
+	case <-p.over:
+		return nil, net.ErrClosed
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
@@ -149,7 +158,7 @@
 // hearsAfter plays and returns how long after it counted as told the last change was heard.
 func hearsAfter(t *testing.T, ask bool, grace, from time.Duration, play func(*agent, time.Duration) time.Duration) time.Duration {
 	f := &config.File{Discovery: "agent", DrainGrace: grace, Settings: policy.Settings{MustAsk: ask}}
-	network, a := make(pipes), &agent{rev: 1, turn: make(chan struct{})}
+	network, a := newPipes(), &agent{rev: 1, turn: make(chan struct{})}
 	srv := &http.Server{Handler: a}
 	go func() { _ = srv.Serve(network) }()
 	type word struct {
@@ -190,7 +199,7 @@
 func TestSilentAgentIsToldOf(t *testing.T) {
 	for _, ask := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			network := make(pipes)
+			network := newPipes()
 			var out, most atomic.Int32
 			srv := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				if n := out.Add(1); n > most.Load() {
@@ -229,7 +238,7 @@
 func TestSlowAgentIsHeard(t *testing.T) {
 	for _, slow := range []time.Duration{600 * time.Millisecond, 700 * time.Millisecond, 1900 * time.Millisecond} {
 		synctest.Test(t, func(t *testing.T) {
-			network := make(pipes)
+			network := newPipes()
 			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				time.Sleep(slow)
 				_ = json.NewEncoder(w).Encode(serverList{Rev: 9, All: true})
@@ -263,7 +272,7 @@
 // changed since.
 func TestVersionGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network, asked := make(pipes), make(chan string, 100)
+		network, asked := newPipes(), make(chan string, 100)
 		srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			asked <- r.URL.Query().Get("since")
 			l := serverList{Rev: 9, All: true}
