Leave an interrupted look at a client to the next one

The look is made on the event loop, which must not turn in a loop for it, however often the system interrupts. A call that does not wait is hardly ever interrupted; none was seen.

--- a/internal/node/ahead.go
+++ b/internal/node/ahead.go
@@ -96,9 +96,7 @@
 		for len(a.buf) < mostAhead {
 			n, _, err := syscall.Recvfrom(int(fd), b[:min(len(b), mostAhead-len(a.buf))], syscall.MSG_DONTWAIT)
 			switch {
-			case err == syscall.EINTR:
-				continue
-			case err == syscall.EAGAIN:
+			case err == syscall.EAGAIN || err == syscall.EINTR: // the next look sees more
 				return
 			case err != nil:
 				a.end = err
