--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -38,34 +38,34 @@
 	rest   time.Duration // before an idle connection is used again
 	fields []string      // of load reports, by the module's order
 
-	mu      sync.Mutex
-	dial    net.Dialer
-	idleFor time.Duration
-	grace   time.Duration
-	most    int // connections at once, to all servers
-	open    int
-	ages    idleAges
-	lives   uint64 // processes of app servers that were heard of
-	servers map[policy.ServerID]*appServer
+	mu           sync.Mutex
+	dial         net.Dialer
+	idleFor      time.Duration
+	grace        time.Duration
+	most         int // connections at once, to all servers
+	open         int
+	ages         idleAges
+	incarnations uint64 // processes of app servers that were heard of
+	servers      map[policy.ServerID]*appServer
 }
 
 // appServer is one server with its idle connections, newest last.
 type appServer struct {
-	addr  string
-	boot  float64
-	life  uint64 // the process there: another one has another, also under the same id and address
-	state policy.State
-	since time.Duration // when this edge node heard that it drains
-	idle  []*upConn
+	addr        string
+	boot        float64
+	incarnation uint64 // the process there: another one has another, also under the same id and address
+	state       policy.State
+	since       time.Duration // when this edge node heard that it drains
+	idle        []*upConn
 }
 
 // upConn is a connection to an app server.
 type upConn struct {
 	net.Conn
-	life uint64 // of the process it leads to
-	in   stream
-	head head
-	used time.Duration
+	incarnation uint64 // of the process it leads to
+	in          stream
+	head        head
+	used        time.Duration
 }
 
 // Read gives up an answer that has begun and stops.
@@ -195,10 +195,10 @@
 			s = &appServer{}
 			u.servers[id] = s
 		}
-		if s.life == 0 || t.State != roster.Gone && (s.addr != t.Endpoint || s.boot != t.BootMS) {
+		if s.incarnation == 0 || t.State != roster.Gone && (s.addr != t.Endpoint || s.boot != t.BootMS) {
 			u.dropIdle(s) // they lead to the process before
-			u.lives++
-			s.addr, s.boot, s.life = t.Endpoint, t.BootMS, u.lives
+			u.incarnations++
+			s.addr, s.boot, s.incarnation = t.Endpoint, t.BootMS, u.incarnations
 		}
 		u.become(s, t.PolicyState(), now)
 	}
@@ -230,11 +230,11 @@
 
 // closed tells whether new work to a process of the server is over: another is there by
 // now, or it drains. It is so before the grace runs out: the bytes have a way to go yet.
-func (u *upstream) closed(id policy.ServerID, life uint64) bool {
+func (u *upstream) closed(id policy.ServerID, incarnation uint64) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
-	return s == nil || s.life != life || s.state != policy.Running && u.clock.now()-s.since > max(0, u.grace-graceMargin)
+	return s == nil || s.incarnation != incarnation || s.state != policy.Running && u.clock.now()-s.since > max(0, u.grace-graceMargin)
 }
 
 // take returns the newest idle connection that is still good, or else one to the
@@ -264,7 +264,7 @@
 		return nil, "", false
 	}
 	u.open++
-	return &upConn{life: s.life}, s.addr, true
+	return &upConn{incarnation: s.incarnation}, s.addr, true
 }
 
 // dropOldest closes the connection that is idle for longest.
@@ -299,7 +299,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	s := u.servers[id]
-	if s == nil || s.state != policy.Running || s.life != c.life || u.open > u.most {
+	if s == nil || s.state != policy.Running || s.incarnation != c.incarnation || u.open > u.most {
 		c.Close()
 		u.open--
 		return
@@ -398,7 +398,7 @@
 	case now >= a.deadline:
 		u.discard(c)
 		return result{code: policy.Moot}
-	case now >= a.writeBy || u.closed(a.server, c.life) || !a.begin(c):
+	case now >= a.writeBy || u.closed(a.server, c.incarnation) || !a.begin(c):
 		u.discard(c)
 		return a.unsent()
 	}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -336,7 +336,7 @@
 	drains := serving("s-00000001", a.addr())
 	drains.State = "DRAINING"
 	u.update(&serverList{Targets: []target{drains}}, false)
-	if u.closed(1, u.servers[1].life) {
+	if u.closed(1, u.servers[1].incarnation) {
 		t.Error("closed before the grace is over")
 	}
 	u.servers[1].since -= u.grace
