Fold the look at an idle connection into alive, its only user

Clients are looked at by reading ahead since, so the three answers of peek (nothing, bytes, an end) had one user left that tells nothing from the rest. Behaviour as it was; the node's tests pass unchanged.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -327,46 +327,23 @@
 }
 
 // alive tells whether nothing has come on an idle connection: neither its end
-// nor bytes that nobody asked for.
+// nor bytes that nobody asked for. It looks without reading and without waiting.
 func alive(c *upConn) bool {
-	return c.in.buffered() == 0 && peek(c.Conn) == peekQuiet
-}
-
-// What stands in a connection's receive buffer.
-type peeked int
-
-const (
-	peekQuiet peeked = iota // nothing
-	peekBytes
-	peekEnd // it is closed or broken
-)
-
-// peek looks without reading and without waiting, neither for bytes nor for a
-// goroutine that reads.
-func peek(c net.Conn) peeked {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return peekEnd
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.in.buffered() > 0 {
+		return false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return peekEnd
+		return false
 	}
-	found := peekEnd
+	quiet := false
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		n, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		switch {
-		case e == syscall.EAGAIN || e == syscall.EWOULDBLOCK || e == syscall.EINTR:
-			found = peekQuiet
-		case e == nil && n > 0:
-			found = peekBytes
-		}
+		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = e == syscall.EAGAIN || e == syscall.EWOULDBLOCK || e == syscall.EINTR
 	})
-	if err != nil {
-		return peekEnd
-	}
-	return found
+	return err == nil && quiet
 }
 
 // result is how an attempt ended.
