--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -10,8 +10,8 @@
 	"os"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/wire"
+	"valvering.example/valvering/policy"
 )
 
 func main() {
--- a/cmd/machine/machine_test.go
+++ b/cmd/machine/machine_test.go
@@ -25,7 +25,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/testkit"
 )
 
 var drains = flag.Int("drains", 1, "machines of 8 edge nodes that TestDrainsOfMachines drains under load")
@@ -63,7 +63,7 @@
 	if err != nil {
 		return "", err
 	}
-	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", bin, "../pepperfall", ".").CombinedOutput()
+	out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", bin, "../valvering", ".").CombinedOutput()
 	if err != nil {
 		err = fmt.Errorf("%w\n%s", err, out)
 	}
--- a/cmd/machine/main.go
+++ b/cmd/machine/main.go
@@ -75,7 +75,7 @@
 	flags := flag.NewFlagSet("machine", flag.ContinueOnError)
 	flags.SetOutput(log)
 	flags.Usage = func() { fmt.Fprint(log, usage) }
-	program := flags.String("program", beside("pepperfall"), "")
+	program := flags.String("program", beside("valvering"), "")
 	budget := flags.Duration("budget", defaultBudget, "")
 	switch err := flags.Parse(args); {
 	case errors.Is(err, flag.ErrHelp):
--- a/cmd/pepperfall/main.go
+++ b/cmd/valvering/main.go
@@ -1,4 +1,4 @@
-// Command pepperfall is one edge node on real sockets. It takes its settings
+// Command valvering is one edge node on real sockets. It takes its settings
 // from the environment (GW_CONFIG and its like), takes over a new configuration
 // file on SIGHUP, and stops on SIGTERM once all that it has taken is answered.
 package main
@@ -19,11 +19,11 @@
 	"syscall"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/admin"
-	"yardcleat.example/yardcleat/internal/bounded"
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/node"
-	"yardcleat.example/yardcleat/internal/snapshot"
+	"valvering.example/valvering/internal/admin"
+	"valvering.example/valvering/internal/bounded"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/node"
+	"valvering.example/valvering/internal/snapshot"
 )
 
 const (
@@ -34,8 +34,8 @@
 	gcPercent  = 400 // the heap is small: memory is spent to save CPU
 )
 
-const usage = `usage: pepperfall             serve, with the configuration file that GW_CONFIG names
-       pepperfall check FILE  tell every fault in a configuration file
+const usage = `usage: valvering             serve, with the configuration file that GW_CONFIG names
+       valvering check FILE  tell every fault in a configuration file
 
 check ends with 0 if the file can be used and with 2 if not. The GW_ and VALVERING_
 variables count for it as they do at a start; a fault in a field that they set is theirs.
@@ -149,7 +149,7 @@
 	runtime.GOMAXPROCS(1) // an edge node has one core
 	history, kept, err := recall(config.Source{Getenv: os.Getenv})
 	if err != nil {
-		fmt.Fprintln(errs, "pepperfall: configuration:", err)
+		fmt.Fprintln(errs, "valvering: configuration:", err)
 		return exitConfig
 	}
 	cfg := history.Current().File
@@ -159,7 +159,7 @@
 	}
 	n, err := node.New(history, kept)
 	if err != nil {
-		fmt.Fprintln(errs, "pepperfall:", err)
+		fmt.Fprintln(errs, "valvering:", err)
 		return exitConfig
 	}
 	if cfg.Admin.IsValid() {
--- a/cmd/pepperfall/main_test.go
+++ b/cmd/valvering/main_test.go
@@ -32,10 +32,10 @@
 
 // build makes the real program, once for all tests that play it.
 var build = sync.OnceValues(func() (path string, err error) {
-	if programDir, err = os.MkdirTemp("", "pepperfall-"); err != nil {
+	if programDir, err = os.MkdirTemp("", "valvering-"); err != nil {
 		return "", err
 	}
-	path = filepath.Join(programDir, "pepperfall")
+	path = filepath.Join(programDir, "valvering")
 	if out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, ".").CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w\n%s", err, out)
 	}
--- a/cmd/pepperfall/measure_test.go
+++ b/cmd/valvering/measure_test.go
@@ -17,11 +17,11 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/roster"
-	"yardcleat.example/yardcleat/internal/snapshot"
-	"yardcleat.example/yardcleat/internal/testkit"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/internal/snapshot"
+	"valvering.example/valvering/internal/testkit"
+	"valvering.example/valvering/policy"
 )
 
 // The harness for docs/MEASUREMENTS.md: the real program under a fixed load.
--- a/cmd/pepperfall/service_test.go
+++ b/cmd/valvering/service_test.go
@@ -18,7 +18,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/testkit"
 )
 
 // service is the real program with what stands round it: discovery, lending
--- a/cmd/pepperfall/start_test.go
+++ b/cmd/valvering/start_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/testkit"
 )
 
 // tier names a tier of so many edge nodes and a known list of so many servers, which are
--- a/cmd/valverlab/commands.go
+++ b/cmd/valverlab/commands.go
@@ -12,15 +12,15 @@
 
 	"github.com/schollz/progressbar/v3"
 
-	"yardcleat.example/yardcleat/internal/lab/baseline"
-	"yardcleat.example/yardcleat/internal/lab/experiment"
-	"yardcleat.example/yardcleat/internal/lab/explain"
-	"yardcleat.example/yardcleat/internal/lab/report"
-	"yardcleat.example/yardcleat/internal/lab/run"
-	"yardcleat.example/yardcleat/internal/lab/stats"
-	"yardcleat.example/yardcleat/internal/lab/store"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/baseline"
+	"valvering.example/valvering/internal/lab/experiment"
+	"valvering.example/valvering/internal/lab/explain"
+	"valvering.example/valvering/internal/lab/report"
+	"valvering.example/valvering/internal/lab/run"
+	"valvering.example/valvering/internal/lab/stats"
+	"valvering.example/valvering/internal/lab/store"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
 )
 
 type runCmd struct {
--- a/cmd/valverlab/demo.go
+++ b/cmd/valverlab/demo.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/experiment"
-	"yardcleat.example/yardcleat/internal/lab/live"
-	"yardcleat.example/yardcleat/internal/lab/run"
+	"valvering.example/valvering/internal/lab/experiment"
+	"valvering.example/valvering/internal/lab/live"
+	"valvering.example/valvering/internal/lab/run"
 )
 
 type demoCmd struct {
@@ -59,7 +59,7 @@
 }
 
 // programName is the edge node's program, as the build names it.
-const programName = "pepperfall"
+const programName = "valvering"
 
 // edgeNode finds the edge node's program.
 func edgeNode(path string) (string, error) {
--- a/cmd/valverlab/main_test.go
+++ b/cmd/valverlab/main_test.go
@@ -9,8 +9,8 @@
 	"strings"
 	"testing"
 
-	"yardcleat.example/yardcleat/internal/lab/explain"
-	"yardcleat.example/yardcleat/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/explain"
+	"valvering.example/valvering/internal/lab/tally"
 )
 
 // ran carries out a command within the test's process.
--- a/cmd/valverlab/sim.go
+++ b/cmd/valverlab/sim.go
@@ -9,13 +9,13 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/baseline"
-	"yardcleat.example/yardcleat/internal/lab/experiment"
-	"yardcleat.example/yardcleat/internal/lab/report"
-	"yardcleat.example/yardcleat/internal/lab/run"
-	"yardcleat.example/yardcleat/internal/lab/store"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/baseline"
+	"valvering.example/valvering/internal/lab/experiment"
+	"valvering.example/valvering/internal/lab/report"
+	"valvering.example/valvering/internal/lab/run"
+	"valvering.example/valvering/internal/lab/store"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // sizeFlags say how large a fleet is and what happens to it.
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -28,8 +28,8 @@
 	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/node"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/node"
 )
 
 const (
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/node"
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/node"
+	"valvering.example/valvering/internal/testkit"
 )
 
 // operated is an edge node whose answers the test sets.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -24,10 +24,10 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/bounded"
-	"yardcleat.example/yardcleat/internal/roster"
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/bounded"
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/internal/wire"
+	"valvering.example/valvering/policy"
 )
 
 // File is what a configuration file and the environment tell an edge node. It
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/sim"
-	"yardcleat.example/yardcleat/internal/lab/world"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/sim"
+	"valvering.example/valvering/internal/lab/world"
+	"valvering.example/valvering/policy"
 )
 
 // Names are the policies there are.
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -16,8 +16,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"yardcleat.example/yardcleat/internal/lab/baseline"
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/baseline"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // Variant is what one arm of an experiment differs by: settings, another build, or a
--- a/internal/lab/explain/explain.go
+++ b/internal/lab/explain/explain.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/trace"
 )
 
 // Cause is why a request earned less than it could, as far as its story tells. Each
--- a/internal/lab/explain/ledger.go
+++ b/internal/lab/explain/ledger.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"yardcleat.example/yardcleat/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/trace"
 )
 
 // Keys are what a Ledger can be broken down by, beside the cause.
--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -16,9 +16,9 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/sim"
-	"yardcleat.example/yardcleat/internal/lab/world"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/sim"
+	"valvering.example/valvering/internal/lab/world"
+	"valvering.example/valvering/policy"
 )
 
 // Host is a running program.
--- a/internal/lab/lending/lending.go
+++ b/internal/lab/lending/lending.go
@@ -7,7 +7,7 @@
 import (
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // Clock tells the time and calls back.
--- a/internal/lab/live/discovery.go
+++ b/internal/lab/live/discovery.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/roster"
+	"valvering.example/valvering/internal/roster"
 )
 
 // agent is discovery's agent on an edge node's machine. It answers at once with what
--- a/internal/lab/live/fault.go
+++ b/internal/lab/live/fault.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // schedule has a fault begin and end in its time, as the simulated engine does. The
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -18,10 +18,10 @@
 	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/load"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/load"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // MostNodes is how many edge nodes a machine bears beside the stand-ins.
--- a/internal/lab/live/front.go
+++ b/internal/lab/live/front.go
@@ -16,10 +16,10 @@
 
 	"gonum.org/v1/gonum/stat"
 
-	"yardcleat.example/yardcleat/internal/lab/load"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/load"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // customer is one of the platform's customers.
--- a/internal/lab/live/lender.go
+++ b/internal/lab/live/lender.go
@@ -13,11 +13,11 @@
 	"syscall"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/lending"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/internal/lab/world"
-	"yardcleat.example/yardcleat/internal/roster"
+	"valvering.example/valvering/internal/lab/lending"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/world"
+	"valvering.example/valvering/internal/roster"
 )
 
 // lender is a lending server. Each edge node reaches it at an address of its own, so
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/loopback"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/loopback"
 )
 
 // node is an edge node's machine: its addresses, and a process that comes and goes.
--- a/internal/lab/live/relay.go
+++ b/internal/lab/live/relay.go
@@ -7,7 +7,7 @@
 	"net/netip"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/tally"
 )
 
 // relay is what lies between the edge nodes: each has an address in front of it, from
--- a/internal/lab/live/rude.go
+++ b/internal/lab/live/rude.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // rudeWithin is how soon a client that sends what can't be read is owed an error or a
--- a/internal/lab/live/rude_test.go
+++ b/internal/lab/live/rude_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // An edge node that leaves such a client without an error or a close is seen, and so is one
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // Source gives the times of arrivals, in order, since the run began; more is false
--- a/internal/lab/report/plot.go
+++ b/internal/lab/report/plot.go
@@ -11,7 +11,7 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/vgsvg"
 
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // Colours that most of the colour-blind can tell apart (Okabe and Ito), ordered so that
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -14,9 +14,9 @@
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 
-	"yardcleat.example/yardcleat/internal/lab/stats"
-	"yardcleat.example/yardcleat/internal/lab/store"
-	"yardcleat.example/yardcleat/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/stats"
+	"valvering.example/valvering/internal/lab/store"
+	"valvering.example/valvering/internal/lab/tally"
 )
 
 func newCanvas(c vg.CanvasSizer) draw.Canvas { return draw.New(c) }
--- a/internal/lab/run/run.go
+++ b/internal/lab/run/run.go
@@ -11,13 +11,13 @@
 	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/baseline"
-	"yardcleat.example/yardcleat/internal/lab/experiment"
-	"yardcleat.example/yardcleat/internal/lab/host"
-	"yardcleat.example/yardcleat/internal/lab/load"
-	"yardcleat.example/yardcleat/internal/lab/sim"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/baseline"
+	"valvering.example/valvering/internal/lab/experiment"
+	"valvering.example/valvering/internal/lab/host"
+	"valvering.example/valvering/internal/lab/load"
+	"valvering.example/valvering/internal/lab/sim"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
 )
 
 // Done is a run that has been played.
--- a/internal/lab/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/internal/lab/world"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/world"
+	"valvering.example/valvering/policy"
 )
 
 // want is what a client asks for, over all its tries.
--- a/internal/lab/sim/discovery.go
+++ b/internal/lab/sim/discovery.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 // callWait is how long a call for the list waits in an overbooked discovery before it
--- a/internal/lab/sim/fault.go
+++ b/internal/lab/sim/fault.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/world"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/world"
+	"valvering.example/valvering/policy"
 )
 
 // schedule has a fault begin and end in its time.
--- a/internal/lab/sim/net.go
+++ b/internal/lab/sim/net.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/policy"
 )
 
 // way is the time one way between two zones.
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -7,9 +7,9 @@
 	"slices"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/policy"
 )
 
 // node is an edge node: a machine with a process that comes and goes.
--- a/internal/lab/sim/server.go
+++ b/internal/lab/sim/server.go
@@ -4,11 +4,11 @@
 	"math"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/lending"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/internal/lab/world"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/lending"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/world"
+	"valvering.example/valvering/policy"
 )
 
 // server is a lending server.
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -9,11 +9,11 @@
 	"math/rand/v2"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/load"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/internal/lab/world"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/load"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/world"
+	"valvering.example/valvering/policy"
 )
 
 // Decider decides for one edge node, as policy.Gateway does.
--- a/internal/lab/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -8,14 +8,14 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/baseline"
-	"yardcleat.example/yardcleat/internal/lab/experiment"
-	"yardcleat.example/yardcleat/internal/lab/load"
-	"yardcleat.example/yardcleat/internal/lab/run"
-	"yardcleat.example/yardcleat/internal/lab/sim"
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/world"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lab/baseline"
+	"valvering.example/valvering/internal/lab/experiment"
+	"valvering.example/valvering/internal/lab/load"
+	"valvering.example/valvering/internal/lab/run"
+	"valvering.example/valvering/internal/lab/sim"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/world"
+	"valvering.example/valvering/policy"
 )
 
 var seeds = flag.Int("seeds", 6, "seeds that TestEqualSeedsEqualBytes plays, each on one worker and on eight")
--- a/internal/lab/sim/truth.go
+++ b/internal/lab/sim/truth.go
@@ -1,6 +1,6 @@
 package sim
 
-import "yardcleat.example/yardcleat/policy"
+import "valvering.example/valvering/policy"
 
 // Truth is the true state, for a policy that no real one can be: it is what a module
 // is measured against.
--- a/internal/lab/store/store.go
+++ b/internal/lab/store/store.go
@@ -21,9 +21,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // Manifest says what a folder holds.
--- a/internal/lab/store/store_test.go
+++ b/internal/lab/store/store_test.go
@@ -5,8 +5,8 @@
 	"path/filepath"
 	"testing"
 
-	"yardcleat.example/yardcleat/internal/lab/tally"
-	"yardcleat.example/yardcleat/internal/lab/trace"
+	"valvering.example/valvering/internal/lab/tally"
+	"valvering.example/valvering/internal/lab/trace"
 )
 
 // A folder whose writer was killed within a line is read as far as it is whole, and
--- a/internal/lab/tally/book.go
+++ b/internal/lab/tally/book.go
@@ -16,7 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 	"gonum.org/v1/gonum/stat"
 
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // How a request ended.
--- a/internal/lab/tally/merge_test.go
+++ b/internal/lab/tally/merge_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // Runs taken together have the quantiles of one run that saw it all; what is no histogram is
--- a/internal/lab/tally/quota.go
+++ b/internal/lab/tally/quota.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lab/world"
+	"valvering.example/valvering/internal/lab/world"
 )
 
 // Account is a customer's true quota, over all edge nodes: it sees every first send.
--- a/internal/lab/world/client.go
+++ b/internal/lab/world/client.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 // MayRepeat tells whether a client may be told that a repeat is harmless though an
--- a/internal/lab/world/settings.go
+++ b/internal/lab/world/settings.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/wire"
+	"valvering.example/valvering/policy"
 )
 
 // obj is an object of the platform's settings.
--- a/internal/lab/world/world.go
+++ b/internal/lab/world/world.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 // Duration is a time in a description, written as Go writes it: "250ms".
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/testkit"
+	"valvering.example/valvering/policy"
 )
 
 // holdDials has each dial to an app server wait: begun tells of one, and each value sent
--- a/internal/node/descriptors.go
+++ b/internal/node/descriptors.go
@@ -4,7 +4,7 @@
 	"log/slog"
 	"syscall"
 
-	"yardcleat.example/yardcleat/internal/config"
+	"valvering.example/valvering/internal/config"
 )
 
 // Parts of the file descriptors: a request needs one for its client and one for its
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/roster"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/policy"
 )
 
 // serverList is discovery's form of the list of app servers, target a line of it.
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/policy"
 )
 
 // pipes is a network of one listener.
--- a/internal/node/duty.go
+++ b/internal/node/duty.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lease"
+	"valvering.example/valvering/internal/lease"
 )
 
 const (
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/testkit"
 )
 
 const patience = 10 * time.Second // how long a client waits for an answer
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -4,7 +4,7 @@
 	"math/bits"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 const (
--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/roster"
-	"yardcleat.example/yardcleat/internal/snapshot"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/internal/snapshot"
+	"valvering.example/valvering/policy"
 )
 
 // How old a piece of a snapshot may be. Stores need no limit: the time since fills
--- a/internal/node/keep_test.go
+++ b/internal/node/keep_test.go
@@ -7,10 +7,10 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/lease"
-	"yardcleat.example/yardcleat/internal/snapshot"
-	"yardcleat.example/yardcleat/internal/testkit"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/lease"
+	"valvering.example/valvering/internal/snapshot"
+	"valvering.example/valvering/internal/testkit"
+	"valvering.example/valvering/policy"
 )
 
 // kept opens a state directory as a start does; let go of it with close.
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/testkit"
 )
 
 // A planned stop, step by step.
--- a/internal/node/liveness_test.go
+++ b/internal/node/liveness_test.go
@@ -13,8 +13,8 @@
 	"testing/synctest"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/testkit"
+	"valvering.example/valvering/policy"
 )
 
 // door is a listener that gives out what it is handed.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/policy"
 )
 
 // clock is the monotonic clock of an edge node, anchored once to Unix time: it
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,8 +14,8 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/testkit"
+	"valvering.example/valvering/policy"
 )
 
 // What goes on to an app server, and what comes back, is unchanged; each
--- a/internal/node/pulse_test.go
+++ b/internal/node/pulse_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/testkit"
 )
 
 func TestPulse(t *testing.T) {
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -19,7 +19,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/testkit"
 )
 
 var (
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -7,8 +7,8 @@
 	"os"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/snapshot"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/snapshot"
 )
 
 var errEnded = errors.New("the edge node has ended")
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -16,8 +16,8 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/testkit"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/testkit"
 )
 
 // reloaded tells whether the file as it is now is in force.
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/wire"
+	"valvering.example/valvering/policy"
 )
 
 const (
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/policy"
 )
 
 const (
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/roster"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/policy"
 )
 
 const (
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/testkit"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/testkit"
+	"valvering.example/valvering/policy"
 )
 
 // pool makes an upstream that knows one app server, number 1.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,8 +15,8 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/wire"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/wire"
+	"valvering.example/valvering/policy"
 )
 
 // List is the list of servers, or what has changed in it.
--- a/internal/snapshot/codec.go
+++ b/internal/snapshot/codec.go
@@ -22,9 +22,9 @@
 	"math"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/config"
-	"yardcleat.example/yardcleat/internal/roster"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/policy"
 )
 
 // State is what is kept of an edge node.
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -19,8 +19,8 @@
 
 	"encoding/binary"
 
-	"yardcleat.example/yardcleat/internal/roster"
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/policy"
 )
 
 func sample() *State {
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/internal/loopback"
+	"valvering.example/valvering/internal/loopback"
 )
 
 // Patience is how long a test waits for a condition. It decides nothing but how long
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 // Configure starts an instance, with nothing remembered.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 // Append writes one action of an instance as a line.
--- a/internal/wire/json.go
+++ b/internal/wire/json.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 // Facts are the settings of an instance as path=value pairs.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 // facts holds the settings of a CONFIGURE line; unknown keys are ignored. Each
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"yardcleat.example/yardcleat/policy"
+	"valvering.example/valvering/policy"
 )
 
 const ms = time.Millisecond
