--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -71,7 +71,6 @@
 	attempts int
 	srv      *server
 	ran      bool
-	counted  bool
 }
 
 // store is an edge node's even part of a customer's quota.
--- a/internal/lab/live/node.go
+++ b/internal/lab/live/node.go
@@ -19,14 +19,13 @@
 
 // node is an edge node's machine: its addresses, and a process that comes and goes.
 type node struct {
-	f      *fleet
-	no     int
-	zone   int
-	at     *loopback.Address
-	addr   string // at: where clients connect and datagrams arrive
-	agent  *agent
-	pool   pool
-	config string
+	f     *fleet
+	no    int
+	zone  int
+	at    *loopback.Address
+	addr  string // at: where clients connect and datagrams arrive
+	agent *agent
+	pool  pool
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -76,8 +76,6 @@
 	restart    = 100 * time.Millisecond
 	leaveFor   = 550 * time.Millisecond // of a planned stop, in which requests still come
 	handFor    = time.Second            // a hand-over may take
-	sweepEach  = time.Second
-	idlePart   = 0.6 // of the time after which servers close idle connections
 )
 
 // handle gives the decider an event and carries out what it wants.
@@ -201,21 +199,6 @@
 	return false
 }
 
-// sweep closes connections that are idle for long.
-func (n *node) sweep() {
-	most := time.Duration(idlePart * float64(n.s.w.Server.Idle))
-	for no, list := range n.conns {
-		srv := n.s.servers[no]
-		n.conns[no] = slices.DeleteFunc(list, func(c conn) bool {
-			old := n.s.now-c.used > most || srv.state != policy.Running
-			if old && c.inc == srv.inc {
-				srv.conns--
-			}
-			return old || c.inc != srv.inc
-		})
-	}
-}
-
 // kill ends the process at once: clients' connections are reset, attempts out are
 // given up.
 func (n *node) kill() {
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -63,9 +63,9 @@
 }
 
 type arrival struct {
-	server   string
-	at, over time.Time
-	may      bool // it may have run: not turned away
+	server string
+	at     time.Time
+	may    bool // it may have run: not turned away
 }
 
 func newBook() *book { return &book{requests: map[string]*seen{}, drains: map[string][]span{}} }
@@ -181,11 +181,11 @@
 		}
 	})
 
-	apps, list := []*app{}, []target{}
+	list := []target{}
 	for i := range 4 {
 		uid := fmt.Sprintf("s-%08x", i+1)
 		a := newApp(t, func(c net.Conn, r *http.Request, _ string) bool { return b.serve(uid, c, r, draw, some) })
-		apps, list = append(apps, a), append(list, serving(uid, a.addr()))
+		list = append(list, serving(uid, a.addr()))
 	}
 	g := newRegistry(t, list...)
 	cfg := fileConfig(t, g.addr, "", fmt.Sprintf(crossingSettings, 15000))
