--- a/policy/policy.go
+++ b/policy/policy.go
@@ -807,6 +807,7 @@
 	g.earn(dt)
 	g.sumLoads()
 	g.adapt(dt)
+	g.look(len(g.fleet))
 	for _, s := range g.fleet {
 		// What is not tried is not learned: an old judgement wears off.
 		s.wear(min(1, dt.Seconds()/slowSpan.Seconds()))
--- /dev/null
+++ b/policy/workingset_test.go
@@ -0,0 +1,366 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// sharing returns a gateway that goes by a list which others use too.
+func sharing(t testing.TB, l *serverList, me, gateways int) *Gateway {
+	t.Helper()
+	set := base()
+	set.Me, set.Gateways = me, gateways
+	g, err := New(set, uint64(me))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.list, g.live, g.size = l, l.running, l.meanWeight()
+	g.keepTo()
+	return g
+}
+
+// listOf is a list with the given lines.
+func listOf(servers []Server) *serverList {
+	l := newServerList()
+	for _, s := range servers {
+		l.put(s)
+	}
+	return l
+}
+
+var fleetSizes = []struct{ gateways, servers, zones int }{
+	{40, 60, 1}, {80, 60, 3}, {300, 200, 4}, {6200, 2000, 18}, {plannedGateways, plannedServers, plannedZones},
+}
+
+// All servers are in as many sets, and no set is in one zone alone.
+func TestWorkingSetsAreBalanced(t *testing.T) {
+	for _, size := range fleetSizes {
+		l := listOf(spreadOut(size.servers, size.zones))
+		sets := map[ServerID]int{}
+		least, most := math.MaxInt, 0
+		for me := range size.gateways {
+			g := sharing(t, l, me, size.gateways)
+			zones := map[string]bool{}
+			for _, s := range g.working {
+				sets[s.ID]++
+				zones[s.Zone] = true
+			}
+			least, most = min(least, len(g.working)), max(most, len(g.working))
+			if len(zones) < min(size.zones, 2) {
+				t.Fatalf("%+v: set of gateway %d in %d zones", size, me, len(zones))
+			}
+		}
+		fewest, mostSets := math.MaxInt, 0
+		for _, n := range sets {
+			fewest, mostSets = min(fewest, n), max(mostSets, n)
+		}
+		want := sharing(t, l, 0, size.gateways).setSize() * float64(size.gateways) / float64(size.servers)
+		t.Logf("%+v: sets of %d to %d servers, each server in %d to %d sets, evenly in %.1f", size, least, most, fewest, mostSets, want)
+		if len(sets) != size.servers || float64(fewest) < want-3 || float64(mostSets) > want+3 {
+			t.Errorf("%+v: %d servers in %d to %d sets, evenly they would be in %.1f", size, len(sets), fewest, mostSets, want)
+		}
+	}
+}
+
+// members are the IDs of a gateway's set.
+func members(g *Gateway) map[ServerID]bool {
+	ids := map[ServerID]bool{}
+	for _, s := range g.working {
+		ids[s.ID] = true
+	}
+	return ids
+}
+
+// newcomers counts the members of a set that were not in it before.
+func newcomers(before, after map[ServerID]bool) (n int) {
+	for id := range after {
+		if !before[id] {
+			n++
+		}
+	}
+	return n
+}
+
+// One server that comes, goes, drains or is replaced moves a few members of any set. A zone
+// that is lost takes its own members, and its place is taken by more of the others.
+func TestWorkingSetsMoveLittle(t *testing.T) {
+	const mostMoved = 2
+	for _, size := range fleetSizes[1:] {
+		servers := spreadOut(size.servers, size.zones)
+		g := sharing(t, listOf(servers), size.gateways/3, size.gateways)
+		change := func(m Server) int {
+			before := members(g)
+			g.Handle(time.Second, Members{Kind: Changes, Servers: []Server{m}}, nil)
+			return newcomers(before, members(g))
+		}
+		most, sum := 0, 0
+		for i := range 400 {
+			m := servers[i*7919%size.servers]
+			switch i % 4 {
+			case 0:
+				m.State = Removed
+			case 1:
+				m.State = Draining
+			case 2:
+				m.ID += ServerID(size.servers) // another in its place
+			}
+			n := change(m)
+			most, sum = max(most, n), sum+n
+		}
+		t.Logf("%+v: %d members moved in 400 changes, %d at most in one", size, sum, most)
+		if most > mostMoved {
+			t.Errorf("%+v: %d members moved at one change", size, most)
+		}
+		lost := Members{Kind: Changes}
+		for _, s := range servers {
+			if s.Zone == "zone 1" {
+				s.State = Removed
+				lost.Servers = append(lost.Servers, s)
+			}
+		}
+		before := members(g)
+		g.Handle(2*time.Second, lost, nil)
+		after := members(g)
+		for id := range before {
+			if s, listed := g.list.find(id); listed && s.Zone != "zone 1" && !after[id] {
+				t.Errorf("%+v: server %d of %s has left the set with zone 1", size, id, s.Zone)
+			}
+		}
+		if moved := newcomers(before, after); float64(moved) > g.setSize()/float64(size.zones)+float64(size.zones) {
+			t.Errorf("%+v: %d newcomers for a zone lost", size, moved)
+		}
+	}
+}
+
+// looked counts the servers that a gateway looks at while something is done.
+func looked(g *Gateway, do func()) (n int) {
+	g.onLook = func(servers int) { n += servers }
+	defer func() { g.onLook = nil }()
+	do()
+	return n
+}
+
+// entries is how many entries of its orders a list has looked at.
+func (l *serverList) entries() (n int) {
+	for _, z := range l.zones {
+		n += z.running.visits
+	}
+	for _, cell := range l.cells {
+		n += cell.visits
+	}
+	return n
+}
+
+// What a request, a tick and a change of the list look at does not grow with the fleet.
+func TestWorkOfALargeFleetIsBounded(t *testing.T) {
+	for _, n := range []int{200, 2000, plannedServers} {
+		set := base()
+		set.Gateways = plannedGateways
+		servers := spreadOut(n, plannedZones)
+		w := newWorld(t, set, servers)
+		request := looked(w.g, func() { w.ask("safe", "free", "c", 1) })
+		tick := looked(w.g, func() { w.pass(w.g.tick) })
+		before := w.g.list.entries()
+		changed := servers[n/2]
+		changed.State = Draining
+		w.do(Members{Kind: Changes, Servers: []Server{changed}})
+		entries := w.g.list.entries() - before
+		t.Logf("%d servers: %d for a request, %d for a tick, %d entries for a change", n, request, tick, entries)
+		if request == 0 || request > mostSet || tick > 2*mostSet {
+			t.Errorf("%d servers: %d looked at for a request, %d for a tick", n, request, tick)
+		}
+		if most := mostSet * 5 * math.Log2(float64(n)); float64(entries) > most {
+			t.Errorf("%d servers: %d entries looked at for a change, %.0f at most", n, entries, most)
+		}
+	}
+}
+
+// condemned has a verdict against each server of the set, as it is then.
+func condemned(w *world) {
+	for _, s := range w.g.working {
+		w.do(PeerMessage{From: 1, Data: encode(verdict{Server: uint32(s.ID), Bad: 0xff, Pace: paceByte(1)})})
+	}
+}
+
+// Where too few of the set can be used, whyever, it is doubled step by step, in bounded work,
+// and a request goes elsewhere; once the set is good again it is as small as before.
+func TestWorkingSetWidens(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		bad  func(w *world)
+	}{
+		{"out of use", condemned},
+		{"turning a plan away", func(w *world) {
+			for _, s := range w.g.working {
+				s.fullAt[w.g.plans["free"]] = w.now + time.Hour
+			}
+		}},
+		{"cold, with nothing left of the budget", func(w *world) {
+			for _, s := range w.g.working {
+				s.HasStart, s.Start = true, w.now
+				for range 100 {
+					s.sends = append(s.sends, w.now)
+				}
+			}
+		}},
+	} {
+		set := base()
+		set.Gateways = plannedGateways
+		w := newWorld(t, set, spreadOut(plannedServers, plannedZones))
+		inner := members(w.g)
+		c.bad(w)
+		var sends []Send
+		if n := looked(w.g, func() {
+			_, acts := w.ask("safe", "free", "c", 1)
+			sends = of[Send](acts)
+		}); n > mostSet<<(mostWidened+1) {
+			t.Errorf("%s: %d looked at", c.name, n)
+		}
+		if len(sends) != 1 || inner[sends[0].Server] || w.g.widened != 1 {
+			t.Errorf("%s: %v sent with the set widened %d times", c.name, sends, w.g.widened)
+		}
+		w.now += 30 * time.Second // verdicts have lapsed
+		for _, s := range w.g.working {
+			clear(s.fullAt)
+			s.HasStart, s.sends = false, nil
+		}
+		for range 20 {
+			w.pass(500 * ms)
+			w.ask("safe", "free", "c", 1)
+		}
+		if w.g.widened != 0 || newcomers(inner, members(w.g)) != 0 {
+			t.Errorf("%s: still widened %d times, %d of %d others in the set", c.name, w.g.widened, newcomers(inner, members(w.g)), len(inner))
+		}
+		if len(w.g.fleet) > 2*mostSet {
+			t.Errorf("%s: state of %d servers is kept", c.name, len(w.g.fleet))
+		}
+	}
+}
+
+// With all of a fully widened set out of use, its servers are used all the same, and no more
+// is looked at; a set that drains is another at once.
+func TestNoWalkOverABadFleet(t *testing.T) {
+	set := base()
+	set.Gateways = plannedGateways
+	servers := spreadOut(plannedServers, plannedZones)
+	w := newWorld(t, set, servers)
+	for w.g.widen() {
+	}
+	condemned(w)
+	n := looked(w.g, func() {
+		if _, acts := w.ask("safe", "free", "c", 1); len(of[Send](acts)) != 1 {
+			t.Errorf("%v with all of the set out of use", acts)
+		}
+	})
+	if n > mostSet<<mostWidened {
+		t.Errorf("%d looked at", n)
+	}
+	before := members(w.g)
+	drained := Members{Kind: Changes}
+	for id := range before {
+		m := servers[id-1]
+		m.State = Draining
+		drained.Servers = append(drained.Servers, m)
+	}
+	w.do(drained)
+	for id := range members(w.g) {
+		if before[id] {
+			t.Errorf("server %d drains and is in the set", id)
+		}
+	}
+}
+
+// A repeat of a request that may have run goes where its class lets it: among 56,000 servers
+// the few others of a cell, or of a zone, are found without a walk.
+func TestRepeatStaysInItsGroup(t *testing.T) {
+	for _, class := range []string{"cell", "zone"} {
+		set := base()
+		set.Gateways = plannedGateways
+		set.Classes = append(set.Classes, Class{Name: "zone", Aim: 800 * ms, Deadline: 3 * time.Second, Effect: Keyed, Group: GroupZone,
+			Window: 2 * time.Second})
+		servers := spreadOut(plannedServers, plannedZones)
+		for i := range servers {
+			// four of a zone
+			servers[i].Cell = i%plannedZones + plannedZones*(i/plannedZones/4)
+		}
+		w := newWorld(t, set, servers)
+		id, acts := w.ask(class, "free", "c", 1)
+		first := of[Send](acts)[0]
+		n := looked(w.g, func() { acts = w.do(Outcome{ID: id, Server: first.Server, Code: Error, Latency: 5 * ms}) })
+		again := of[Send](acts)
+		if len(again) != 1 || again[0].Server == first.Server {
+			t.Fatalf("%s: %v after server %d", class, acts, first.Server)
+		}
+		a, b := servers[first.Server-1], servers[again[0].Server-1]
+		if a.Zone != b.Zone || class == "cell" && a.Cell != b.Cell {
+			t.Errorf("%s: sent to %+v after %+v", class, b, a)
+		}
+		if n > mostSet {
+			t.Errorf("%s: %d looked at", class, n)
+		}
+		// With the whole group out of use, and no server of it left, nothing goes elsewhere.
+		gone := Members{Kind: Changes}
+		for _, s := range servers {
+			if class == "cell" && s.Cell == a.Cell || class == "zone" && s.Zone == a.Zone {
+				s.State = Removed
+				gone.Servers = append(gone.Servers, s)
+			}
+		}
+		w.do(gone)
+		if acts = w.do(Outcome{ID: id, Attempt: 1, Server: again[0].Server, Code: Error, Latency: 5 * ms}); len(of[Send](acts)) != 0 {
+			t.Errorf("%s: %v with its group gone", class, acts)
+		}
+	}
+}
+
+// State of a server outside the set is kept while it is of use: an attempt is out, a verdict
+// holds, or it is known to be slow; and dropped then.
+func TestStateOutsideTheSetIsDropped(t *testing.T) {
+	set := base()
+	set.Gateways = plannedGateways
+	w := newWorld(t, set, spreadOut(plannedServers, plannedZones))
+	var outside ServerID
+	for id := ServerID(1); outside == 0; id++ {
+		if !members(w.g)[id] {
+			outside = id
+		}
+	}
+	w.do(PeerMessage{From: 1, Data: encode(verdict{Server: uint32(outside), Bad: 1, Pace: paceByte(4)})})
+	if s := w.g.servers[outside]; s == nil || !s.by[0].bad {
+		t.Fatalf("%+v of a server under a verdict", s)
+	}
+	w.pass(verdictLife - time.Second)
+	if w.g.servers[outside] == nil {
+		t.Error("state dropped under a verdict")
+	}
+	w.pass(2 * time.Minute)
+	if s := w.g.servers[outside]; s != nil {
+		t.Errorf("%+v kept for nothing", s)
+	}
+	w.do(PeerMessage{From: 1, Data: encode(verdict{Server: plannedServers + 1, Bad: 1, Pace: paceByte(4)})})
+	if len(w.g.servers) > mostSet {
+		t.Errorf("state of %d servers, one of none in the list", len(w.g.servers))
+	}
+}
+
+// However many gateways there are, servers are watched by all of them alike.
+func TestWatchersAreSpread(t *testing.T) {
+	for _, gateways := range []int{300, plannedGateways} {
+		g := sharing(t, listOf(nil), 0, gateways)
+		watched := make([]int, gateways)
+		for _, s := range spreadOut(plannedServers, 1) {
+			w := g.watchers(s.ID)
+			watched[w[0]]++
+			if w[0] == w[1] {
+				t.Fatalf("server %d has one watcher twice", s.ID)
+			}
+		}
+		mean := plannedServers / gateways
+		for me, n := range watched {
+			if n < mean/2 || n > mean*2 {
+				t.Fatalf("%d gateways: number %d watches %d servers, the mean is %d", gateways, me, n, mean)
+			}
+		}
+	}
+}
