--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -121,7 +121,7 @@
 	if !g.tree {
 		return [2]int{g.set.Me, g.set.Me}
 	}
-	h, n := orderHash(id), uint32(g.set.Gateways)
+	h, n := serverHash(id), uint32(g.set.Gateways)
 	if n <= 1<<serverBits { // as older programs do; beyond, some would watch none
 		h >>= 32 - serverBits
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -649,7 +649,7 @@
 // keepTo picks the servers that this gateway of a large fleet keeps to. Were each to
 // use all, every server would bear connections from every gateway, most for a request
 // or two. Of each zone a gateway takes a run of the running servers, in the order of
-// a hash, as long as the zone's part of them, each gateway from another place: all
+// their IDs, as long as the zone's part of them, each gateway from another place: all
 // servers are in as many sets, give or take one for each zone, and no cut of a zone
 // takes a whole set. One server more or less moves two members at most, those of a
 // zone that is lost are replaced by more of the others.
--- a/policy/ranked.go
+++ b/policy/ranked.go
@@ -1,6 +1,6 @@
 package policy
 
-// ranked is a set of servers in the order of a hash of their IDs, in which the server at a
+// ranked is a set of servers in the order of their IDs, in which the server at a
 // rank is found. It is a treap in one slice: inserting, deleting and finding visit O(log n)
 // entries on average. The order does not depend on the order of the changes that led to it.
 type ranked struct {
@@ -21,10 +21,7 @@
 
 func (t *ranked) len() int { return int(t.entries[t.root].size) }
 
-// orderHash spreads IDs; it maps no two of them to the same value.
-func orderHash(id ServerID) uint32 { return uint32(id) * 0x9e3779b1 }
-
-// priority orders parents above children. It is independent of orderHash's order.
+// priority orders parents above children. It is independent of the order of the IDs.
 func priority(id ServerID) uint32 {
 	h := uint32(id)
 	h = (h ^ h>>16) * 0x85ebca6b
@@ -79,11 +76,11 @@
 	t.visits++
 	e, a := &t.entries[root], &t.entries[added]
 	if priority(a.id) > priority(e.id) {
-		a.left, a.right = t.split(root, orderHash(a.id))
+		a.left, a.right = t.split(root, a.id)
 		t.resize(added)
 		return added
 	}
-	if orderHash(a.id) < orderHash(e.id) {
+	if a.id < e.id {
 		e.left = t.inserted(e.left, added)
 	} else {
 		e.right = t.inserted(e.right, added)
@@ -92,19 +89,19 @@
 	return root
 }
 
-// split divides a subtree into the servers below a hash and the rest.
-func (t *ranked) split(root, hash uint32) (below, rest uint32) {
+// split divides a subtree into the servers below an ID and the rest.
+func (t *ranked) split(root uint32, id ServerID) (below, rest uint32) {
 	if root == 0 {
 		return 0, 0
 	}
 	t.visits++
 	e := &t.entries[root]
-	if orderHash(e.id) < hash {
-		e.right, rest = t.split(e.right, hash)
+	if e.id < id {
+		e.right, rest = t.split(e.right, id)
 		t.resize(root)
 		return root, rest
 	}
-	below, e.left = t.split(e.left, hash)
+	below, e.left = t.split(e.left, id)
 	t.resize(root)
 	return below, root
 }
@@ -121,7 +118,7 @@
 		t.entries[root] = rankedEntry{left: t.unused}
 		t.unused = root
 		return rest
-	case orderHash(id) < orderHash(e.id):
+	case id < e.id:
 		e.left = t.removed(e.left, id)
 	default:
 		e.right = t.removed(e.right, id)
--- a/policy/serverlist.go
+++ b/policy/serverlist.go
@@ -162,6 +162,9 @@
 	}
 }
 
+// serverHash spreads IDs; it maps no two of them to the same value.
+func serverHash(id ServerID) uint32 { return uint32(id) * 0x9e3779b1 }
+
 // meet returns the state of a server, made from its line where there is none yet; nil: it is
 // not in the list.
 func (g *Gateway) meet(id ServerID) *server {
@@ -172,7 +175,7 @@
 	if !listed {
 		return nil
 	}
-	s := &server{Server: m, hash: uint16(orderHash(id) >> (32 - serverBits)), slow: 1, pace: 1, tier: noTier,
+	s := &server{Server: m, hash: uint16(serverHash(id) >> (32 - serverBits)), slow: 1, pace: 1, tier: noTier,
 		verdicts: verdictKeep, verdictAt: g.now, by: make([]record, len(g.set.Classes)),
 		fullAt: map[*quota]time.Duration{}, watchers: g.watchers(id)}
 	g.servers[id] = s
