--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -57,9 +57,12 @@
 			list = append(list, c)
 		}
 	}
+	if g.tree && len(list) == 0 {
+		return
+	}
 	slices.SortStableFunc(list, func(a, b *customer) int { return cmp.Compare(b.urgency, a.urgency) })
 	for _, p := range g.peers {
-		if p == nil || p.num == g.set.Me || g.tree && len(list) == 0 {
+		if p == nil || p.num == g.set.Me {
 			continue
 		}
 		if m := g.message(p, list); !g.tree || len(m.customers) > 0 {
--- /dev/null
+++ b/policy/scale_bench_test.go
@@ -0,0 +1,42 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkFleetSize measures what one edge node's module costs at today's and at the planned
+// size: a request without a quota with its outcome, a tick at rest, and a changed line.
+func BenchmarkFleetSize(b *testing.B) {
+	for _, size := range []struct{ gateways, servers, zones int }{{300, 200, 4}, {300, 2000, 4}, {plannedGateways, plannedServers, plannedZones}} {
+		set := base()
+		set.Gateways = size.gateways
+		servers := spreadOut(size.servers, size.zones)
+		name := fmt.Sprintf("%dx%d", size.gateways, size.servers)
+		b.Run("request/"+name, func(b *testing.B) {
+			w := newWorld(b, set, servers)
+			for range b.N {
+				w.now += time.Millisecond
+				_, acts := w.ask("safe", "free", "c", 1)
+				for _, s := range of[Send](acts) {
+					w.do(Outcome{ID: s.ID, Server: s.Server, Code: OK, Latency: 50 * ms, Over: true})
+				}
+			}
+		})
+		b.Run("tick/"+name, func(b *testing.B) {
+			w := newWorld(b, set, servers)
+			for range b.N {
+				w.pass(w.g.tick)
+			}
+		})
+		b.Run("change/"+name, func(b *testing.B) {
+			w := newWorld(b, set, servers)
+			for i := range b.N {
+				m := servers[i*7919%len(servers)]
+				m.State = State(i / len(servers) % 2)
+				w.do(Members{Kind: Changes, Servers: []Server{m}})
+			}
+		})
+	}
+}
