--- a/policy/api.go
+++ b/policy/api.go
@@ -43,12 +43,12 @@
 type Plan struct {
 	Name        string
 	Rate        float64 // units a second; 0: no rate quota
-	Burst       float64 // most units the quota's store holds
+	Burst       float64 // most units the quota's token bucket holds
 	Open        int     // most attempts out at once; 0: no such quota
 	BeyondEarns float64 // share of the worth earned beyond the quota
 	BeyondCosts float64 // share of the worth charged beyond the quota
 	HardRate    float64 // units a second of the hard ceiling; 0: none
-	HardBurst   float64 // most units the ceiling's store holds
+	HardBurst   float64 // most units the ceiling's token bucket holds
 }
 
 // Settings is what a gateway is told at its start.
--- a/policy/events.go
+++ b/policy/events.go
@@ -56,7 +56,7 @@
 	if ev.Kind != Changes {
 		g.list.beginWhole()
 		for _, s := range g.fleet {
-			s.leave(g.now)
+			s.markRemoved(g.now)
 		}
 	}
 	for _, m := range ev.Servers {
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// advice is when a retry may find room: once the store will have filled up to
+// advice is when a retry may find room: once the token bucket will have filled up to
 // what a repeat needs, and no sooner than the next ticks.
 func (g *Gateway) advice(r *request) time.Duration {
 	c, wait := r.c, 2*g.tick.Seconds()
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -10,16 +10,16 @@
 )
 
 // Handing on. A root that ends hands each customer's counts to that customer's
-// deputy: what its store holds, and the attempts out under its cap. It answers no
+// deputy: what its token bucket holds, and the attempts out under its cap. It answers no
 // ask from then on, and tells all of its end once every part is acknowledged, or
 // was said handTries times. Once all turn to the root again its deputy hands the
-// store back; attempts that it granted end there, where their members tell of it.
+// token bucket back; attempts that it granted end there, where their members tell of it.
 //
 // In the same way the watcher of a server hands what it knows of it to the second
 // watcher, which judges meanwhile, and hands it back.
 //
 // A part may come late, twice or out of order: it is adopted once, and never adds
-// to what a store holds.
+// to what a token bucket holds.
 
 // handed is a part of a customer's counts. On the wire: version, kind 9, then the
 // fields in their order, as many grants as follow.
@@ -69,7 +69,7 @@
 	handedSize = 10 // of a grant
 
 	handTries   = 4    // a part is said so often at most,
-	handAtOnce  = 20   // so many parts at once: each takes a place in somebody's mail
+	handAtOnce  = 20   // so many parts at once: each takes a place in somebody's intake of datagrams
 	mostAdopted = 4096 // and so many are remembered
 )
 
@@ -147,7 +147,7 @@
 		return
 	}
 	m := handed{Inc: g.inc, Mark: g.tables[0].mark, Plan: c.plan.no, Customer: c.key, First: uint16(c.first),
-		Spread: uint16(c.spread), Store: float32(max(0, c.store))}
+		Spread: uint16(c.spread), Store: float32(max(0, c.tokens))}
 	var list []handedGrant
 	for l, v := range c.leases {
 		if left := (v.until - g.now).Milliseconds(); grants && left > 0 {
@@ -187,7 +187,7 @@
 	}
 }
 
-// handAgain says what is due of the parts, as many at once as the mail of those
+// handAgain says what is due of the parts, as many at once as the intake of those
 // who take them in bears, and ends when none is left.
 func (g *Gateway) handAgain() {
 	said := 0
@@ -211,7 +211,7 @@
 		g.told = true
 		g.endsAgain()
 		g.report() // the last units passed here
-		g.do(Tell{To: -1, Data: encode(leave{g.inc})})
+		g.do(Tell{To: -1, Data: encode(departure{g.inc})})
 		g.do(Left{})
 	}
 }
@@ -342,12 +342,12 @@
 	}
 }
 
-// onLeave notes that a gateway ends. What it had out has ended. Its reports are
+// onDeparture notes that a gateway ends. What it had out has ended. Its reports are
 // believed again once they are another process's; in a large fleet, where most hear
 // none, all go by the same time, so that they turn to it again together. What it was
 // asked for and has not granted is asked for anew.
-func (g *Gateway) onLeave(from int, m leave) {
-	g.left[from] = g.now + leftFor
+func (g *Gateway) onDeparture(from int, m departure) {
+	g.departed[from] = g.now + departedFor
 	if p := g.peers[from]; p != nil && (!p.heard || p.inc == m.Inc) {
 		p.left = true
 	}
@@ -361,14 +361,14 @@
 }
 
 // gone tells whether a gateway has told that it ends, a moment ago.
-func (g *Gateway) gone(num int) bool { return g.now < g.left[num] }
+func (g *Gateway) gone(num int) bool { return g.now < g.departed[num] }
 
 // keepTime lets go of what has had its time, and hands back to those who are asked
 // again from now on.
 func (g *Gateway) keepTime() {
-	for _, num := range slices.Sorted(maps.Keys(g.left)) { // in an order that equal seeds give again
-		if g.now >= g.left[num] {
-			delete(g.left, num)
+	for _, num := range slices.Sorted(maps.Keys(g.departed)) { // in an order that equal seeds give again
+		if g.now >= g.departed[num] {
+			delete(g.departed, num)
 			g.handBack(num)
 		}
 	}
@@ -388,8 +388,8 @@
 		g.onVerdict(m.Verdict, g.placeMask(m.Verdict.Bad, true, m.Mark))
 	case tables:
 		g.onTables(from, m)
-	case leave:
-		g.onLeave(from, m)
+	case departure:
+		g.onDeparture(from, m)
 	case handed:
 		g.onHanded(from, m)
 	case judged:
@@ -406,10 +406,10 @@
 	}
 }
 
-// adopt takes over a root's counts. What its store held fills none here.
+// adopt takes over a root's counts. What its token bucket held fills none here.
 func (g *Gateway) adopt(c *customer, m *handed) {
 	g.advance(c)
-	c.store, c.sums, c.seen = min(c.store, float64(m.Store)), true, g.now
+	c.tokens, c.sums, c.seen = min(c.tokens, float64(m.Store)), true, g.now
 	for _, l := range m.Grants {
 		n := len(c.leases)
 		c.leases[lease{int(l.From), l.Tag}] = g.grantOf(c, l)
--- a/policy/handover_test.go
+++ b/policy/handover_test.go
@@ -35,7 +35,7 @@
 
 // relay is a fleet in which the root of some customers leaves.
 type relay struct {
-	*crowd
+	*cluster
 	rng       *rand.Rand
 	customers []string
 	root      map[string]int
@@ -49,7 +49,7 @@
 func newRelay(t testing.TB, seed uint64, lost float64) *relay {
 	t.Helper()
 	r := &relay{rng: rand.New(rand.NewPCG(seed, 7)), root: map[string]int{}, deputy: map[string]int{}, member: map[string]int{}}
-	r.crowd = newCrowd(t, 60, fleet(200))
+	r.cluster = newCluster(t, 60, fleet(200))
 	r.leaver = -1
 	for i := 0; len(r.customers) < 30; i++ {
 		name := fmt.Sprint("k", seed, "-", i)
@@ -87,7 +87,7 @@
 	lose := r.lose
 	r.lose = func(from, to int) bool { return dead && (from == r.leaver || to == r.leaver) || lose(from, to) }
 	if told {
-		r.crowd.leave(r.leaver)
+		r.cluster.leave(r.leaver)
 		r.pass(30*ms, nil)
 	}
 	dead = true
@@ -97,7 +97,7 @@
 func (r *relay) right() (n int) {
 	for _, name := range r.customers {
 		was, c := r.gs[r.leaver].customers[keyOf(name)], r.gs[r.deputy[name]].customers[keyOf(name)]
-		if c != nil && c.out == was.out && c.store <= was.store+1 {
+		if c != nil && c.out == was.out && c.tokens <= was.tokens+1 {
 			n++
 		}
 	}
@@ -105,7 +105,7 @@
 }
 
 // What a root counts is its deputy's once it has left: attempts out, so that the
-// cap holds, and the store; ends are told there, and free the place.
+// cap holds, and the token bucket; ends are told there, and free the place.
 func TestRootHandsOn(t *testing.T) {
 	for seed := range uint64(10) {
 		r := newRelay(t, seed, 0)
@@ -140,7 +140,7 @@
 	}
 }
 
-// Whatever is lost, late, twice or out of order: no store grows by a hand-over, no
+// Whatever is lost, late, twice or out of order: no token bucket grows by a hand-over, no
 // attempt is counted twice, and none longer than its client waits.
 func TestHandOverModel(t *testing.T) {
 	for seed := range uint64(60) {
@@ -149,9 +149,9 @@
 		// Some messages come twice, some late.
 		lose := r.lose
 		r.lose = func(from, to int) bool {
-			if rng.IntN(4) == 0 && len(r.mail) > 0 {
-				again := r.mail[rng.IntN(len(r.mail))]
-				r.mail = append(r.mail, again)
+			if rng.IntN(4) == 0 && len(r.inFlight) > 0 {
+				again := r.inFlight[rng.IntN(len(r.inFlight))]
+				r.inFlight = append(r.inFlight, again)
 			}
 			return lose(from, to)
 		}
@@ -160,7 +160,7 @@
 		for _, name := range r.customers {
 			c := r.gs[r.leaver].customers[keyOf(name)]
 			r.gs[r.leaver].advance(c)
-			total[name], outs[name] = c.store, c.out
+			total[name], outs[name] = c.tokens, c.out
 		}
 		at := r.now
 		r.leave(true)
@@ -170,8 +170,8 @@
 				if c == nil {
 					continue
 				}
-				if most := total[name] + 10*(r.now-at).Seconds() + 0.1; c.sums && len(c.leases) > 0 && c.store > most {
-					t.Fatalf("seed %d, %s: a store of %.1f, the root had %.1f", seed, when, c.store, total[name])
+				if most := total[name] + 10*(r.now-at).Seconds() + 0.1; c.sums && len(c.leases) > 0 && c.tokens > most {
+					t.Fatalf("seed %d, %s: a store of %.1f, the root had %.1f", seed, when, c.tokens, total[name])
 				}
 				if c.out != len(c.leases) || c.out > outs[name] {
 					t.Fatalf("seed %d, %s: %d out, %d leases, the root counted %d", seed, when, c.out, len(c.leases), outs[name])
@@ -304,10 +304,10 @@
 		set.Me, set.Gateways = r.leaver, 60
 		r.gs[r.leaver], _ = New(set, 99)
 		r.do(r.leaver, Members{Kind: Remembered, Servers: fleet(200)})
-		r.pass(leftFor+300*ms, nil)
+		r.pass(departedFor+300*ms, nil)
 		for _, s := range list {
 			back, heir := r.gs[r.leaver].meet(s.ID), r.gs[s.watchers[1]]
-			if _, pending := heir.left[r.leaver]; pending || seed%3 > 0 {
+			if _, pending := heir.departed[r.leaver]; pending || seed%3 > 0 {
 				continue // neither the part nor the word of the end may have come
 			}
 			if back.by[0].errs < 0.5*was.meet(s.ID).by[0].errs {
@@ -340,10 +340,10 @@
 	}
 	c := r.gs[r.deputy[name]].customers[keyOf(name)]
 	r.gs[r.deputy[name]].advance(c)
-	c.store = 3
-	r.pass(leftFor-1600*ms+300*ms, nil)
+	c.tokens = 3
+	r.pass(departedFor-1600*ms+300*ms, nil)
 	back := r.gs[r.leaver].customers[keyOf(name)]
-	if back == nil || back.store > 3+10*0.7 { // filled since; one that knew nothing has more
+	if back == nil || back.tokens > 3+10*0.7 { // filled since; one that knew nothing has more
 		t.Fatalf("%+v", back)
 	}
 	if len(r.gs[r.leaver].customers) < len(r.customers) {
@@ -357,7 +357,7 @@
 	r := newRelay(t, 2, 0)
 	r.lose = func(from, to int) bool { return from == r.leaver }
 	r.told = 0
-	r.crowd.leave(r.leaver)
+	r.cluster.leave(r.leaver)
 	if g := r.gs[r.leaver]; len(g.handing) > 0 || r.now > 30*time.Second {
 		t.Errorf("told %v, %d parts left", g.told, len(g.handing))
 	}
@@ -373,10 +373,10 @@
 				for i := range b.N {
 					r := newRelay(b, uint64(i), lost)
 					list := r.judged(b)
-					before := r.crowd.told
+					before := r.cluster.told
 					r.leave(told)
 					judged, watched = judged+r.heirs(list), watched+len(list)
-					msgs += r.crowd.told - before
+					msgs += r.cluster.told - before
 					right, all = right+r.right(), all+len(r.customers)
 				}
 				b.ReportMetric(100*float64(right)/float64(all), "%right")
@@ -393,7 +393,7 @@
 	median := map[string][]float64{}
 	worst := map[string]float64{}
 	for i := range b.N {
-		w := newCrowd(b, 300, fleet(200))
+		w := newCluster(b, 300, fleet(200))
 		rng, id := rand.New(rand.NewPCG(uint64(i), 4)), RequestID(0)
 		busy := func(time.Duration) {
 			for range 6 { // in each hundredth of a second
--- a/policy/deaf_test.go
+++ b/policy/isolated_test.go
@@ -7,25 +7,25 @@
 	"time"
 )
 
-// silent is what deaf gateways do while they hear nobody.
+// silent is what isolated gateways do while they hear nobody.
 type silent struct {
-	calm, calmPassed int     // first tries of customers within their quotas, how many passed
-	alone            int     // requests that passed with no root's word
-	most             float64 // how many may, by what roots let in before
-	repeats, waits   int     // clients' repeats that passed alone, requests that were made to wait
-	deafAfter        int     // gateways that are deaf a second after the silence
+	calm, calmPassed   int     // first tries of customers within their quotas, how many passed
+	alone              int     // requests that passed with no root's word
+	most               float64 // how many may, by what roots let in before
+	repeats, waits     int     // clients' repeats that passed alone, requests that were made to wait
+	isolatedAfterwards int     // gateways that are isolated a second after the silence
 }
 
-// deafen plays 50 gateways that hear nobody for six seconds, in which twice as much is asked
+// isolate plays 50 gateways that hear nobody for six seconds, in which twice as much is asked
 // for, by customers of which some ask for several times their quota. each, if any, is done at each step of the silence.
-func deafen(t testing.TB, seed uint64, each func(w *crowd)) (s silent) {
+func isolate(t testing.TB, seed uint64, each func(w *cluster)) (s silent) {
 	const (
 		gateways, customers, spread = 50, 100, 25
 		heavy                       = 5 // of the customers
 		perStep                     = 4 // requests in a hundredth of a second
 		silence                     = 6 * time.Second
 	)
-	w := newCrowd(t, gateways, fleet(60))
+	w := newCluster(t, gateways, fleet(60))
 	rng, id, lost := rand.New(rand.NewPCG(seed, 7)), RequestID(0), false
 	w.lose = func(int, int) bool { return lost || rng.IntN(20) == 0 }
 	step := func(time.Duration) {
@@ -43,10 +43,10 @@
 				Spread: spread, First: k % gateways, Retry: rng.IntN(5) == 0}
 			from := (k + rng.IntN(spread)) % gateways
 			g, sent, final := w.gs[from], len(w.sends), w.final
-			deaf := g.deaf()
+			isolated := g.isolated()
 			w.do(from, r)
 			passed := len(w.sends) > sent
-			if c := g.customers[keyOf(r.Customer)]; !deaf || c != nil && len(c.ask) == 0 {
+			if c := g.customers[keyOf(r.Customer)]; !isolated || c != nil && len(c.ask) == 0 {
 				continue // it hears, or counts the customer itself
 			}
 			if !passed && w.final == final {
@@ -90,8 +90,8 @@
 		}
 	})
 	for _, g := range w.gs {
-		if g.deaf() {
-			s.deafAfter++
+		if g.isolated() {
+			s.isolatedAfterwards++
 		}
 	}
 	return s
@@ -99,16 +99,16 @@
 
 // Gateways that hear nobody go on serving, without waiting for answers that can't come,
 // and pass in sum no more than their roots let in before; one word ends it.
-func TestDeafGatewaysServeAlone(t *testing.T) {
+func TestIsolatedGatewaysServeAlone(t *testing.T) {
 	for seed := range uint64(3) {
-		s := deafen(t, seed, nil)
+		s := isolate(t, seed, nil)
 		t.Logf("seed %d: %+v", seed, s)
-		if s.waits > 0 || s.repeats > 0 || s.deafAfter > 0 || float64(s.alone) > s.most || s.calmPassed*5 < s.calm*2 || s.calm == 0 {
+		if s.waits > 0 || s.repeats > 0 || s.isolatedAfterwards > 0 || float64(s.alone) > s.most || s.calmPassed*5 < s.calm*2 || s.calm == 0 {
 			t.Errorf("seed %d: %+v", seed, s)
 		}
 	}
 	// The bound is seen to be broken where it is.
-	s := deafen(t, 1, func(w *crowd) {
+	s := isolate(t, 1, func(w *cluster) {
 		for _, g := range w.gs {
 			g.credit = 2 * g.mostCredit()
 		}
--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -5,14 +5,14 @@
 	"time"
 )
 
-// crowd drives hundreds of gateways by hand, a message taking 20 ms.
-type crowd struct {
-	t    testing.TB
-	now  time.Duration
-	gs   []*Gateway
-	mail []letter
-	lose func(from, to int) bool
-	kept func(from, to int, data []byte) // what is not lost; nil: nobody asks
+// cluster drives hundreds of gateways by hand, a message taking 20 ms.
+type cluster struct {
+	t        testing.TB
+	now      time.Duration
+	gs       []*Gateway
+	inFlight []datagram
+	lose     func(from, to int) bool
+	kept     func(from, to int, data []byte) // what is not lost; nil: nobody asks
 
 	told   int   // messages, by receiver
 	got    []int // the same for each
@@ -23,15 +23,15 @@
 	final  int
 }
 
-type letter struct {
+type datagram struct {
 	at       time.Duration
 	from, to int
 	data     []byte
 }
 
-func newCrowd(t testing.TB, n int, servers []Server) *crowd {
+func newCluster(t testing.TB, n int, servers []Server) *cluster {
 	t.Helper()
-	c := &crowd{t: t, now: 10 * time.Second, got: make([]int, n), lose: func(int, int) bool { return false }}
+	c := &cluster{t: t, now: 10 * time.Second, got: make([]int, n), lose: func(int, int) bool { return false }}
 	for i := range n {
 		s := base()
 		s.Me, s.Gateways = i, n
@@ -45,10 +45,10 @@
 	return c
 }
 
-func (c *crowd) do(i int, ev Event) { c.carry(i, c.gs[i].Handle(c.now, ev, nil)) }
+func (c *cluster) do(i int, ev Event) { c.carry(i, c.gs[i].Handle(c.now, ev, nil)) }
 
 // carry carries out what a gateway wants done.
-func (c *crowd) carry(i int, acts []Action) {
+func (c *cluster) carry(i int, acts []Action) {
 	for _, a := range acts {
 		switch a := a.(type) {
 		case Tell:
@@ -62,7 +62,7 @@
 					if c.lose(i, to) {
 						continue
 					}
-					c.mail = append(c.mail, letter{c.now + 20*ms, i, to, a.Data})
+					c.inFlight = append(c.inFlight, datagram{c.now + 20*ms, i, to, a.Data})
 					if c.kept != nil {
 						c.kept(i, to, a.Data)
 					}
@@ -77,12 +77,12 @@
 }
 
 // pass lets time go by in steps of 10 ms, each attempt ending well after 50.
-func (c *crowd) pass(d time.Duration, step func(at time.Duration)) {
+func (c *cluster) pass(d time.Duration, step func(at time.Duration)) {
 	for end := c.now + d; c.now < end; {
 		c.now += 10 * ms
-		var due []letter
-		for len(c.mail) > 0 && c.mail[0].at <= c.now {
-			due, c.mail = append(due, c.mail[0]), c.mail[1:]
+		var due []datagram
+		for len(c.inFlight) > 0 && c.inFlight[0].at <= c.now {
+			due, c.inFlight = append(due, c.inFlight[0]), c.inFlight[1:]
 		}
 		for _, l := range due {
 			c.do(l.to, PeerMessage{From: l.from, Data: l.data})
@@ -105,7 +105,7 @@
 }
 
 // leave has a gateway leave, until it has told so.
-func (c *crowd) leave(i int) {
+func (c *cluster) leave(i int) {
 	c.do(i, Leave{})
 	for range 300 {
 		if c.gs[i].told {
@@ -116,12 +116,12 @@
 	c.t.Fatalf("gateway %d never told that it has left", i)
 }
 
-func (c *crowd) request(i int, id RequestID, customer, plan, class string, spread int) {
+func (c *cluster) request(i int, id RequestID, customer, plan, class string, spread int) {
 	c.do(i, Request{ID: id, Customer: customer, Plan: plan, Class: class, Units: 1,
 		Remaining: 2 * time.Second, Spread: spread})
 }
 
-// Reports from all to all take no more of anybody's mail than is theirs, at any size of
+// Reports from all to all take no more of anybody's intake of datagrams than is theirs, at any size of
 // the fleet: beyond, members ask roots. Fleets of 20 to 38 gateways told each other more
 // than they could take in.
 func TestReportsFitTheMail(t *testing.T) {
@@ -132,7 +132,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if told := float64(n-1) / g.tick.Seconds(); !g.tree && told > 1.001*mailShare*s.MailPerSecond {
+		if told := float64(n-1) / g.tick.Seconds(); !g.tree && told > 1.001*reportShare*s.MailPerSecond {
 			t.Errorf("%d gateways: %.0f reports a second to each", n, told)
 		}
 		if tree := n > 13; g.tree != tree {
@@ -151,10 +151,10 @@
 		lost  int // a message in so many is lost
 		least int
 	}{
-		{"far above", 2, 1 << 30, 85}, {"far above, mail lost", 2, 12, 85}, {"inside", 20, 1 << 30, 50},
+		{"far above", 2, 1 << 30, 85}, {"far above, datagrams lost", 2, 12, 85}, {"inside", 20, 1 << 30, 50},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newCrowd(t, 300, fleet(40))
+			w := newCluster(t, 300, fleet(40))
 			n := 0
 			w.lose = func(int, int) bool { n++; return n%c.lost == 0 }
 			asked := 0
@@ -181,7 +181,7 @@
 // A root that answers nothing must not stop its customers: the deputy counts
 // for it.
 func TestDeputyStepsIn(t *testing.T) {
-	w := newCrowd(t, 100, fleet(20))
+	w := newCluster(t, 100, fleet(20))
 	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["rate"], 0, 50)
 	roots, deputy := w.gs[0].roots(c)
 	w.lose = func(from, to int) bool { return to == roots[0] || from == roots[0] }
@@ -202,7 +202,7 @@
 func TestColdShareIsBoundedOverTheFleet(t *testing.T) {
 	servers := fleet(20)
 	servers[0].HasStart, servers[0].Start = true, 10*time.Second
-	w := newCrowd(t, 300, servers)
+	w := newCluster(t, 300, servers)
 	for _, g := range w.gs { // the warm ones are all slow
 		for _, s := range g.fleet[1:] {
 			s.slow = mostPace
@@ -231,7 +231,7 @@
 // A watcher hears of one class failing on a server and tells all; the other
 // classes still go there.
 func TestWatcherTellsOfOneClass(t *testing.T) {
-	w := newCrowd(t, 100, fleet(10))
+	w := newCluster(t, 100, fleet(10))
 	s := w.gs[0].servers[3]
 	id := 0
 	for range 6 {
@@ -271,7 +271,7 @@
 // The watcher may be lost with the server: one that can't be reached is told
 // to a second.
 func TestSecondWatcherTellsOfUnreachable(t *testing.T) {
-	w := newCrowd(t, 100, fleet(10))
+	w := newCluster(t, 100, fleet(10))
 	s := w.gs[0].servers[3]
 	w.lose = func(from, to int) bool { return from == s.watchers[0] || to == s.watchers[0] }
 	cl := w.gs[70].classes["safe"]
@@ -294,10 +294,10 @@
 // An ask that comes twice counts once, and is answered twice: the first answer
 // may be lost.
 func TestRepeatedAskCountsOnce(t *testing.T) {
-	w := newCrowd(t, 100, fleet(10))
+	w := newCluster(t, 100, fleet(10))
 	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["rate"], 0, 50)
 	roots, _ := w.gs[0].roots(c)
-	m := encode(ask{Customer: keyOf("k"), Spread: 50, Plan: 1, Units: 4, Left: 2000, Tag: 9, Thin: 250, Fill: unknownStore})
+	m := encode(ask{Customer: keyOf("k"), Spread: 50, Plan: 1, Units: 4, Left: 2000, Tag: 9, Thin: 250, Fill: unknownTokens})
 	for range 3 {
 		w.do(roots[0], PeerMessage{From: 99, Data: m})
 	}
@@ -309,14 +309,14 @@
 // A member that no longer wants what it asked for tells the root: neither a
 // request held there nor a grant on its way may keep a place under the cap.
 func TestGivenUpRequestFreesItsPlace(t *testing.T) {
-	w := newCrowd(t, 100, fleet(10))
+	w := newCluster(t, 100, fleet(10))
 	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["open"], 0, 50)
 	roots, deputy := w.gs[0].roots(c)
 	i := 0
 	for i == roots[0] || i == deputy {
 		i++
 	}
-	m := ask{Customer: keyOf("k"), Spread: 50, Plan: 2, Units: 1, Left: 5000, Thin: 250, Fill: unknownStore}
+	m := ask{Customer: keyOf("k"), Spread: 50, Plan: 2, Units: 1, Left: 5000, Thin: 250, Fill: unknownTokens}
 	for m.Tag = range uint32(2) {
 		w.do(roots[0], PeerMessage{From: 99, Data: encode(m)})
 	}
@@ -348,14 +348,14 @@
 // A root's word that a request waits may be lost too: it is said again, or the
 // member would turn to the deputy, which knows of no attempt under the cap.
 func TestLostWordOfWaitingIsSaidAgain(t *testing.T) {
-	w := newCrowd(t, 100, fleet(10))
+	w := newCluster(t, 100, fleet(10))
 	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["open"], 0, 50)
 	roots, deputy := w.gs[0].roots(c)
 	i := 0
 	for i == roots[0] || i == deputy {
 		i++
 	}
-	m := ask{Customer: keyOf("k"), Spread: 50, Plan: 2, Units: 1, Left: 5000, Thin: 250, Fill: unknownStore}
+	m := ask{Customer: keyOf("k"), Spread: 50, Plan: 2, Units: 1, Left: 5000, Thin: 250, Fill: unknownTokens}
 	for m.Tag = range uint32(2) {
 		w.do(roots[0], PeerMessage{From: 99, Data: encode(m)})
 	}
@@ -375,7 +375,7 @@
 // longer than a tick after its end, though one message is lost; where all are lost, no
 // longer than leaseTicks. A root that starts anew learns of it within two ticks.
 func TestGrantCountsUntilItsEnd(t *testing.T) {
-	w := newCrowd(t, 100, fleet(10))
+	w := newCluster(t, 100, fleet(10))
 	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["open"], 0, 50)
 	roots, deputy := w.gs[0].roots(c)
 	i := 0
@@ -383,7 +383,7 @@
 		i++
 	}
 	w.do(roots[0], PeerMessage{From: 99, Data: encode(ask{Customer: keyOf("k"), Spread: 50, Plan: 2, Units: 1,
-		Left: 2000, Thin: 250, Fill: unknownStore})})
+		Left: 2000, Thin: 250, Fill: unknownTokens})})
 	root := w.gs[roots[0]].customers[keyOf("k")]
 	w.pass(500*ms, nil)
 	if root.out != 1 {
@@ -432,7 +432,7 @@
 	for i := range 12 {
 		servers[i].HasStart, servers[i].Start = true, 10*time.Second
 	}
-	w := newCrowd(t, 300, servers)
+	w := newCluster(t, 300, servers)
 	for id := range 1200 {
 		w.request(id%300, RequestID(id+1), "k", "free", "safe", 300)
 	}
@@ -454,7 +454,7 @@
 func TestColdServerIsNotTakenForSlow(t *testing.T) {
 	servers := fleet(20)
 	servers[0].HasStart, servers[0].Start = true, 10*time.Second
-	w := newCrowd(t, 100, servers)
+	w := newCluster(t, 100, servers)
 	watcher := w.gs[0].servers[1].watchers[0]
 	g := w.gs[watcher]
 	s := g.servers[1]
@@ -471,7 +471,7 @@
 // connections are made; all servers are in as many parts. Once its own drain it
 // moves on to others.
 func TestGatewaysKeepToAPartOfTheServers(t *testing.T) {
-	w := newCrowd(t, 80, fleet(60))
+	w := newCluster(t, 80, fleet(60))
 	used := map[ServerID]map[int]bool{}
 	by := map[int]map[ServerID]bool{}
 	play := func() {
@@ -494,7 +494,7 @@
 	}
 	play()
 	for i, servers := range by {
-		if len(servers) > nearMost {
+		if len(servers) > leastSet {
 			t.Errorf("gateway %d uses %d servers", i, len(servers))
 		}
 	}
@@ -511,14 +511,14 @@
 		w.do(i, Members{Kind: Changes, Servers: own})
 	}
 	play()
-	if len(by[0]) == 0 || len(by[0]) > nearMost {
+	if len(by[0]) == 0 || len(by[0]) > leastSet {
 		t.Errorf("once its own drain, gateway 0 uses %d others", len(by[0]))
 	}
 }
 
 // A try without time left is refused at once: it can't wait for its root.
 func TestNoTimeLeftIsRefused(t *testing.T) {
-	w := newCrowd(t, 100, fleet(10))
+	w := newCluster(t, 100, fleet(10))
 	for i := range 20 {
 		w.do(i, Request{ID: RequestID(i + 1), Customer: "k", Plan: "rate", Class: "safe", Units: 1, Spread: 100})
 	}
@@ -530,7 +530,7 @@
 // Times are rounded on their way: a timer that comes a little before its time
 // must not leave a request with no timer at all.
 func TestTimerARoundingEarly(t *testing.T) {
-	w := newCrowd(t, 100, fleet(10))
+	w := newCluster(t, 100, fleet(10))
 	c := w.gs[0].account(keyOf("k"), w.gs[0].plans["rate"], 0, 50)
 	roots, deputy := w.gs[0].roots(c)
 	i := 0
@@ -554,7 +554,7 @@
 // word is lost they find out as ever.
 func TestLeaverIsNotAsked(t *testing.T) {
 	for _, lost := range []bool{false, true} {
-		w := newCrowd(t, 100, fleet(40))
+		w := newCluster(t, 100, fleet(40))
 		roots, deputy := w.gs[0].roots(&customer{key: keyOf("k"), plan: w.gs[0].plans["rate"], first: 0, spread: 50})
 		root, i := roots[0], 0
 		for i == root || i == deputy {
@@ -580,12 +580,12 @@
 		if !lost && (asked[root] > 0 || asked[deputy] == 0 || len(w.sends) != 1) {
 			t.Errorf("%d asks to the root that has left, %d to its deputy, %d sent on", asked[root], asked[deputy], len(w.sends))
 		}
-		w.pass(leftFor+300*ms, nil)
+		w.pass(departedFor+300*ms, nil)
 		dead = false
 		clear(asked)
 		w.request(i, 2, "k", "rate", "safe", 50)
 		w.pass(100*ms, nil)
-		if asked[root] == 0 || asked[deputy] > 0 || len(w.gs[i].left) > 0 {
+		if asked[root] == 0 || asked[deputy] > 0 || len(w.gs[i].departed) > 0 {
 			t.Errorf("lost %v: %d asks to the root that is back, %d to its deputy", lost, asked[root], asked[deputy])
 		}
 	}
@@ -605,12 +605,12 @@
 	if first != 1 || ask() != 0 {
 		t.Fatal("the cap is not full")
 	}
-	w.do(PeerMessage{From: 1, Data: encode(leave{Inc: 7})}) // of a process before that one
+	w.do(PeerMessage{From: 1, Data: encode(departure{Inc: 7})}) // of a process before that one
 	w.now += ms
 	if w.g.peers[1].left {
 		t.Error("another process's end counts")
 	}
-	w.do(PeerMessage{From: 1, Data: encode(leave{Inc: 1})})
+	w.do(PeerMessage{From: 1, Data: encode(departure{Inc: 1})})
 	w.hear(1, 1, 2, true, entry{hash: hashOf("c"), out: 15})
 	w.pass(50 * ms)
 	if n := ask() + ask(); w.g.customers[keyOf("c")].out != 2 {
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -36,7 +36,7 @@
 	Clean   bool          // that one let in nothing after Memory was taken
 }
 
-// Memory is a copy that shares nothing with the gateway. The stores are only
+// Memory is a copy that shares nothing with the gateway. The token buckets are only
 // worth keeping once nothing more is let in: what comes after is not in them.
 func (g *Gateway) Memory(now time.Duration, stores bool) Memory {
 	var m Memory
@@ -62,8 +62,8 @@
 	g.now = max(g.now, now)
 	m.Stores = map[uint64]float64{}
 	for key, c := range g.customers {
-		if g.advance(c); c.plan.Rate > 0 && c.store < c.plan.Burst && (len(c.ask) == 0 || c.sums) {
-			m.Stores[key] = c.store
+		if g.advance(c); c.plan.Rate > 0 && c.tokens < c.plan.Burst && (len(c.ask) == 0 || c.sums) {
+			m.Stores[key] = c.tokens
 		}
 	}
 	return m
@@ -107,7 +107,7 @@
 	return min(max(pace, 1/mostPace), mostPace)
 }
 
-// letGo drops what was kept of the stores once a fresh start would come to the
+// letGo drops what was kept of the token buckets once a fresh start would come to the
 // same.
 func (g *Gateway) letGo() {
 	for _, q := range g.plans {
--- a/policy/memory_test.go
+++ b/policy/memory_test.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// clerk keeps one customer's store as the platform does, and so knows what a
+// clerk keeps one customer's token bucket as the platform does, and so knows what a
 // gateway lets in beyond it.
 type clerk struct {
 	plan   Plan
@@ -101,7 +101,7 @@
 	}
 }
 
-// A planned stop hands the stores on whole: what was left may be used at once,
+// A planned stop hands the token buckets on whole: what was left may be used at once,
 // and the time since fills it, up to the burst; a clock that went backwards fills
 // nothing.
 func TestStoreAfterPlannedStop(t *testing.T) {
@@ -196,7 +196,7 @@
 	}
 }
 
-// The stores that were kept are let go once they could tell nothing more.
+// The token buckets that were kept are let go once they could tell nothing more.
 func TestKeptStoresAreLetGo(t *testing.T) {
 	w := newWorld(t, base(), fleet(3))
 	w.do(Restore{Memory: Memory{Stores: map[uint64]float64{1: 2}}, Clean: true})
@@ -250,7 +250,7 @@
 			}
 			g.Handle(time.Second, Members{Kind: Remembered, Servers: fleet(200)}, nil)
 			for i := range 10000 {
-				g.account(uint64(i)<<20, g.plans["rate"], 0, 1).store = 1
+				g.account(uint64(i)<<20, g.plans["rate"], 0, 1).tokens = 1
 			}
 			b.ReportAllocs()
 			for range b.N {
--- a/policy/messages.go
+++ b/policy/messages.go
@@ -17,7 +17,7 @@
 	Units, Left   uint16 // Left: milliseconds until the client gives up
 	Tag           uint32
 	Thin          byte // with what chance it was asked for, 250 certain
-	Fill          byte // of the store as last heard, 250 full
+	Fill          byte // of the token bucket as last heard, 250 full
 	Repeat        bool
 }
 
@@ -53,8 +53,8 @@
 	Latency uint16 // milliseconds
 }
 
-// leave tells that the sender ends.
-type leave struct{ Inc uint32 }
+// departure tells that the sender ends.
+type departure struct{ Inc uint32 }
 
 // verdict is the watcher's on a server and class, for all.
 type verdict struct {
@@ -82,7 +82,7 @@
 		kind = 6
 	case markedVerdict:
 		kind = 7
-	case leave:
+	case departure:
 		kind = 8
 	case took:
 		kind = 10
@@ -126,7 +126,7 @@
 	case 7:
 		return fixed[markedVerdict](b[2:])
 	case 8:
-		return fixed[leave](b[2:])
+		return fixed[departure](b[2:])
 	case handedKind:
 		return decodeHanded(b[2:])
 	case 10:
@@ -172,7 +172,7 @@
 	c.count(g.now, -1)
 	g.advance(c)
 	if m.Unused {
-		c.store = min(c.plan.Burst, c.store+l.r.units)
+		c.tokens = min(c.plan.Burst, c.tokens+l.r.units)
 	}
 	g.release(c)
 }
@@ -189,12 +189,12 @@
 	c, left := r.c, (r.deadline - g.now).Milliseconds()
 	m := ask{Customer: c.key, First: uint16(c.first), Spread: uint16(c.spread), Plan: c.plan.no,
 		Class: byte(r.cl.no), Units: uint16(r.units), Left: uint16(min(max(0, left), math.MaxUint16)),
-		Tag: r.tag, Repeat: r.repeat, Fill: unknownStore, Thin: small(250 * r.asks)}
+		Tag: r.tag, Repeat: r.repeat, Fill: unknownTokens, Thin: small(250 * r.asks)}
 	if t != g.tables[0] {
 		m.Plan, m.Class = byte(slices.Index(t.plans, c.plan.Name)), byte(slices.Index(t.classes, r.cl.Name))
 	}
 	if c.told > 0 {
-		m.Fill = small(250 * max(0, c.store) / max(1, c.plan.Burst))
+		m.Fill = small(250 * max(0, c.tokens) / max(1, c.plan.Burst))
 	}
 	return m
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,7 +6,7 @@
 // cap on attempts out wait in arrival order; gateways report to each other
 // once a tick, sum the attempts out from these reports, and release the free
 // room at ticks and at their own outcomes. A rate companion keeps an estimate
-// of each customer's store of units and lets a gateway pass its part of it.
+// of each customer's token bucket of units and lets a gateway pass its part of it.
 package policy
 
 import (
@@ -18,7 +18,7 @@
 
 // Tuned values: shares, counts of ticks, and times that people and networks set.
 const (
-	mailShare        = 0.75 // part of a gateway's mail intake that reports may fill
+	reportShare      = 0.75 // part of a gateway's intake of datagrams that reports may fill
 	minTick, maxTick = 25 * time.Millisecond, 250 * time.Millisecond
 	staleTicks       = 6    // a report older than this gives way to the demand split
 	leastWeight      = 0.33 // a silent peer's demand fades to this part of it
@@ -37,7 +37,7 @@
 	queueWeight            = 0.5        // what each attempt out adds to a server's latency, in service times
 	waitAim                = 0.15       // a server is full when the wait passes this part of the shortest aim
 	leastOut               = 2.5        // but not below this many attempts out
-	retryReserve           = 0.3        // part of the store that clients' repeats leave to first tries
+	retryReserve           = 0.3        // part of the token bucket that clients' repeats leave to first tries
 	pressedFor             = 200 * time.Millisecond
 	holdAim                = 0.35             // a request is held for this part of its aim
 	firstGuess             = 8.0              // a request's first guessed latency is its aim over this
@@ -63,35 +63,35 @@
 	strainLife         = 12 * time.Second                 // how fast an old strain is forgotten
 	strainOwn          = 0.15                             // weight of an outcome or a root's word in it
 
-	// Where reports from all to all are more than the mail bears.
-	leftFor     = 2 * time.Second       // one that told of its end is back by then, or is missed as ever
-	treeTick    = maxTick * 2 / 3       // longest tick up to which reports to all serve better
-	rootMail    = 0.5                   // part of its mail intake that a root spends on one customer
-	rootPeak    = 2.0                   // asks it must bear, as a multiple of those inside the quota
-	rootTicks   = 2                     // roots of a customer report to each other every so many ticks
-	rootAsks    = 3                     // times a root is asked before its deputy is
-	freshFill   = 0.8                   // part of a store that a root just started presumes
-	deputyPart  = 0.25                  // part of a hard ceiling that the deputy holds
-	leastReply  = 30 * time.Millisecond // an answer is waited for this long at least
-	replySpread = 2.5                   // and for this many mean times
-	deafAsks    = 4                     // as many asks as one request takes, and no word from anybody: deaf
-	fitLearn    = 0.05                  // weight of a root's word in what part of a plan's requests fits
-	leaseTicks  = 3                     // ticks for which a word of an attempt counts: one may be lost
-	thinSpan    = 20 * time.Second      // a root's word of what part fits is heeded so long
-	paceStep    = 1.7                   // a pace is told when it changed by this factor
-	verdictLife = 8 * time.Second       // a verdict not told again lapses
-	otherZone   = 0.7                   // weight of a server in another zone
-	zoneTurns   = 12                    // a multiple of 2, 3, 4 and 6: the zones there may be
-	nearMost    = 20                    // servers that a gateway keeps to: enough to even out slow ones,
-	leastSets   = 8.0                   // but as many as have each server in so many gateways' sets
-	mostSet     = 128.0                 // up to this many
-	mostWidened = 3                     // a set is doubled so often where too few of it can be used
-	narrowAfter = 2 * time.Second       // and halved once that is not needed for so long
-	asGood      = 0.02                  // errors, and the log of a pace, that are as good as none
-
-	letSpan, creditSpan      = 4 * time.Second, time.Second / 2 // of what roots let in; what of it at once
-	mostPace, paceLearn      = 12.0, 0.025                      // most a pace is taken for, weight in it
-	verdictMail, verdictKeep = 0.1, 2.0                         // part of the mail for verdicts, most at once
+	// Where reports from all to all are more than their intake bears.
+	departedFor   = 2 * time.Second       // one that told of its end is back by then, or is missed as ever
+	treeTick      = maxTick * 2 / 3       // longest tick up to which reports to all serve better
+	rootShare     = 0.5                   // part of its intake that a root spends on one customer
+	rootPeak      = 2.0                   // asks it must bear, as a multiple of those inside the quota
+	rootTicks     = 2                     // roots of a customer report to each other every so many ticks
+	rootAsks      = 3                     // times a root is asked before its deputy is
+	freshPart     = 0.8                   // part of a token bucket that a root just started presumes
+	deputyPart    = 0.25                  // part of a hard ceiling that the deputy holds
+	leastReply    = 30 * time.Millisecond // an answer is waited for this long at least
+	replySpread   = 2.5                   // and for this many mean times
+	isolatedAfter = 4                     // as many asks as one request takes, and no word from anybody
+	fitLearn      = 0.05                  // weight of a root's word in what part of a plan's requests fits
+	leaseTicks    = 3                     // ticks for which a word of an attempt counts: one may be lost
+	thinSpan      = 20 * time.Second      // a root's word of what part fits is heeded so long
+	paceStep      = 1.7                   // a pace is told when it changed by this factor
+	verdictLife   = 8 * time.Second       // a verdict not told again lapses
+	otherZone     = 0.7                   // weight of a server in another zone
+	zoneTurns     = 12                    // a multiple of 2, 3, 4 and 6: the zones there may be
+	leastSet      = 20                    // servers that a gateway keeps to: enough to even out slow ones,
+	leastSets     = 8.0                   // but as many as have each server in so many gateways' sets
+	mostSet       = 128.0                 // up to this many
+	mostWidened   = 3                     // a set is doubled so often where too few of it can be used
+	narrowAfter   = 2 * time.Second       // and halved once that is not needed for so long
+	asGood        = 0.02                  // errors, and the log of a pace, that are as good as none
+
+	letSpan, creditSpan       = 4 * time.Second, time.Second / 2 // of what roots let in; what of it at once
+	mostPace, paceLearn       = 12.0, 0.025                      // most a pace is taken for, weight in it
+	verdictShare, verdictKeep = 0.1, 2.0                         // part of the intake, most at once
 )
 
 // New returns a gateway that has seen nothing yet. The seed feeds its random
@@ -106,7 +106,7 @@
 		c.mean = c.Aim.Seconds() / firstGuess
 		g.mean, g.minAim = max(g.mean, c.mean), min(g.minAim, c.Aim.Seconds())
 	}
-	mail := max(s.MailPerSecond*mailShare, 1)
+	mail := max(s.MailPerSecond*reportShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
 	g.own, g.gate = learn, 1
 	if g.tree = g.tick > treeTick && s.CanTell; g.tree {
@@ -120,15 +120,15 @@
 	return g, nil
 }
 
-// Customers, their stores and their room.
+// Customers, their token buckets and their room.
 
 // account starts a customer's counts. Those who sum them come first: in a
 // small fleet all its gateways, in a large one its roots. The others ask.
 func (g *Gateway) account(key uint64, plan *quota, first, spread int) *customer {
 	spread = max(1, min(spread, g.set.Gateways))
 	c := &customer{key: key, hash: shortOf(key), plan: plan, n: float64(spread), part: 1, first: first,
-		store: g.firstStore(key, plan), leases: map[lease]leased{}, spread: spread, at: g.now, areaAt: g.now,
-		born: g.now}
+		tokens: g.initialTokens(key, plan), leases: map[lease]leased{}, spread: spread, at: g.now,
+		areaAt: g.now, born: g.now}
 	g.seat(c)
 	// The ceiling's own part starts empty at the gateway's start: after a
 	// restart it must not be granted a second time.
@@ -137,11 +137,11 @@
 	return c
 }
 
-// firstStore is what a store holds when a customer's counts begin. For as long as
+// initialTokens is what a token bucket holds when a customer's counts begin. For as long as
 // it takes to fill, it may have been emptied before this gateway's start: it must
 // not be granted twice. After a crash nobody knows what was let in last, whatever
 // an earlier snapshot says: it holds what has flowed in since the start.
-func (g *Gateway) firstStore(key uint64, plan *quota) float64 {
+func (g *Gateway) initialTokens(key uint64, plan *quota) float64 {
 	age := (g.now - g.start).Seconds()
 	left, kept := g.kept[key]
 	switch {
@@ -151,7 +151,7 @@
 	case g.restored && !g.clean:
 		return plan.Rate * age
 	case g.tree && !g.clean:
-		return plan.Burst * freshFill
+		return plan.Burst * freshPart
 	}
 	return plan.Burst
 }
@@ -173,14 +173,14 @@
 	}
 }
 
-// carry takes a customer over to new figures of its plan. That cuts a store and
+// carry takes a customer over to new figures of its plan. That cuts a token bucket and
 // fills none, but that of a plan that had no rate: it had none, and one begins full.
 func (g *Gateway) carry(c *customer, old Plan) {
 	g.seat(c)
 	if old.Rate == 0 && c.plan.Rate > 0 {
-		c.store = c.plan.Burst
+		c.tokens = c.plan.Burst
 	}
-	c.store, c.ceiling = min(c.store, c.plan.Burst), min(c.ceiling, c.plan.HardBurst/c.n)
+	c.tokens, c.ceiling = min(c.tokens, c.plan.Burst), min(c.ceiling, c.plan.HardBurst/c.n)
 }
 
 // roots are the gateways that sum a customer's counts: as few as can take in
@@ -194,7 +194,7 @@
 			asks += c.plan.Rate // those that pass tell their ends too
 		}
 		asks /= max(1, g.set.LargestUnits/2)
-		k = min(max(1, int(math.Ceil(asks/max(1, g.set.MailPerSecond*rootMail)))), c.spread)
+		k = min(max(1, int(math.Ceil(asks/max(1, g.set.MailPerSecond*rootShare)))), c.spread)
 	}
 	base, step := int(c.key>>33)%c.spread, max(1, c.spread/(k+1))
 	for i := range k + 1 {
@@ -206,7 +206,7 @@
 	return nums, deputy
 }
 
-// advance brings a customer's stores up to now. A peer long silent is taken
+// advance brings a customer's token buckets up to now. A peer long silent is taken
 // to use its demand-split part of the rate: it may only be cut off.
 func (g *Gateway) advance(c *customer) {
 	dt := (g.now - c.at).Seconds()
@@ -221,10 +221,10 @@
 		}
 	}
 	share := 1 - unheard/g.demand(c)
-	if len(c.ask) > 0 && !c.sums || g.deaf() {
+	if len(c.ask) > 0 && !c.sums || g.isolated() {
 		share = 1 / float64(c.spread) // what others pass is the root's to know, if it hears
 	}
-	c.store = min(c.plan.Burst, c.store+c.plan.Rate*dt*share)
+	c.tokens = min(c.plan.Burst, c.tokens+c.plan.Rate*dt*share)
 	c.ceiling = max(c.ceiling, min(c.plan.HardBurst/c.n, c.ceiling+c.plan.HardRate/c.n*dt))
 	k := math.Exp(-dt / demandSpan.Seconds())
 	c.rate *= k
@@ -270,7 +270,7 @@
 	return (c.rate/demandSpan.Seconds() + g.even(c)) / g.demand(c)
 }
 
-// allowance is what this gateway may pass of the customer's store now: its
+// allowance is what this gateway may pass of the customer's token bucket now: its
 // demand-split part, or what is left once the peers have passed all they may
 // be asked for before they are heard again, whichever is more.
 func (g *Gateway) allowance(c *customer) float64 {
@@ -283,7 +283,7 @@
 		}
 		unseen += g.weight(c, v) * wait
 	}
-	return max(c.store*g.share(c), c.store-unseen)
+	return max(c.tokens*g.share(c), c.tokens-unseen)
 }
 
 // others sums the attempts out and held that the peers report. A silent
@@ -347,7 +347,7 @@
 	c := r.c
 	c.fresh = repeatTicks
 	// A client's repeat is often late. It gives way to first tries while requests
-	// wait for servers or the store is low. Guards against retry storms; harms
+	// wait for servers or the token bucket is low. Guards against retry storms; harms
 	// where repeats come soon and aims are long.
 	scarce := c.plan.Rate > 0 && g.allowance(c) < r.units+retryReserve*c.plan.Burst ||
 		!r.remote && g.lackAt > 0 && g.now-g.lackAt < pressedFor
@@ -622,7 +622,7 @@
 	for steps := 0; ; steps++ {
 		list := g.working
 		if group != nil {
-			list = g.along(group, min(nearMost<<steps, group.len()))
+			list = g.along(group, min(leastSet<<steps, group.len()))
 		}
 		ok, doubted := g.sortOut(list, r)
 		if float64(len(ok)) >= fewest {
@@ -643,7 +643,7 @@
 // to have each server in some gateways' sets, whose traffic differs.
 func (g *Gateway) setSize() float64 {
 	each := leastSets * float64(g.live) / float64(g.set.Gateways)
-	return min(max(nearMost, each), mostSet)
+	return min(max(leastSet, each), mostSet)
 }
 
 // keepTo picks the servers that this gateway of a large fleet keeps to. Were each to
@@ -711,7 +711,7 @@
 
 // draw chooses a server by its share of the fleet's capacity. A large fleet's
 // gateways don't see the load there; were each to take the best of a few, all
-// would crowd onto the same servers. However slow the warm ones are, a cold one
+// would herd onto the same servers. However slow the warm ones are, a cold one
 // gets no more of an even share than its budget; what is left over waits.
 func (g *Gateway) draw(ok []*server) *server {
 	all := 0.0
@@ -874,12 +874,12 @@
 	g.advance(c)
 	v := c.set[i]
 	passed, met := v.read(e, p.inc, g.now)
-	c.store = min(c.plan.Burst, max(0, c.store-passed))
-	// One just met has used it, or knows who has: it is told once what the store
-	// is here. Guards against a store that is full at one gateway only.
-	if (met || !c.known) && e.store != unknownStore {
+	c.tokens = min(c.plan.Burst, max(0, c.tokens-passed))
+	// One just met has used it, or knows who has: it is told once what the token bucket
+	// is here. Guards against a token bucket that is full at one gateway only.
+	if (met || !c.known) && e.tokens != unknownTokens {
 		c.known, c.fresh = true, max(c.fresh, 1)
-		c.store = min(c.store, float64(e.store)/250*c.plan.Burst)
+		c.tokens = min(c.tokens, float64(e.tokens)/250*c.plan.Burst)
 	}
 }
 
@@ -895,12 +895,13 @@
 	}
 	t := g.toPeer(to, r)
 	delete(g.asks, r.tag)
-	deaf := r.asked == 0 && to != g.set.Me && g.deaf()
-	if deaf && t != nil { // a root that hears this counts it, and its answer ends the silence
+	isolated := r.asked == 0 && to != g.set.Me && g.isolated()
+	if isolated && t != nil { // a root that hears this counts it, and its answer ends the silence
 		r.tag = g.newTag(t)
 		g.do(Tell{To: to, Data: encode(g.askOf(r, t))})
 	}
-	if deaf || r.asked > rootAsks || t == nil && to != g.set.Me || g.now+2*g.set.Resolution >= r.deadline {
+	late := g.now+2*g.set.Resolution >= r.deadline
+	if isolated || r.asked > rootAsks || t == nil && to != g.set.Me || late {
 		if r.waits || c.plan.HardRate > 0 || !g.within(r) || !g.alone(r) || !g.try(r) {
 			g.refuse(r)
 		}
@@ -923,8 +924,8 @@
 	g.do(SetTimer{Token: "ask", After: r.until - g.now})
 }
 
-// deaf tells whether nobody is heard at all: what is asked of a root is lost then.
-func (g *Gateway) deaf() bool { return g.tree && g.unheard >= deafAsks }
+// isolated tells whether nobody is heard at all: what is asked of a root is lost then.
+func (g *Gateway) isolated() bool { return g.tree && g.unheard >= isolatedAfter }
 
 // alone decides whether a request passes with no root's word: as many first tries do as
 // roots let in of late, and the fewer may still pass the more one must be worth. So servers
@@ -948,8 +949,8 @@
 		c = g.account(m.Customer, plan, int(m.First), int(m.Spread))
 	}
 	// One that counts for a root it can't hear goes by what the root last told.
-	if m.Fill != unknownStore && (fresh || len(c.ask) > 0) {
-		c.store = min(c.store, float64(m.Fill)/250*c.plan.Burst)
+	if m.Fill != unknownTokens && (fresh || len(c.ask) > 0) {
+		c.tokens = min(c.tokens, float64(m.Fill)/250*c.plan.Burst)
 	}
 	// Asked for before: the first answer was lost.
 	if l, ok := c.leases[lease{from, m.Tag}]; ok {
@@ -1014,9 +1015,9 @@
 }
 
 func (g *Gateway) answer(r *request, v byte) {
-	fill := small(250 * max(0, r.c.store) / max(1, r.c.plan.Burst))
+	fill := small(250 * max(0, r.c.tokens) / max(1, r.c.plan.Burst))
 	part := 1.0
-	if r.c.store < retryReserve*r.c.plan.Burst {
+	if r.c.tokens < retryReserve*r.c.plan.Burst {
 		part = min(1, r.c.plan.Rate*demandSpan.Seconds()/max(r.c.rate, 1))
 	}
 	g.do(Tell{To: r.root, Data: encode(answer{r.tag, v, fill, small(100 * g.strain), small(250 * part)})})
@@ -1034,7 +1035,7 @@
 	g.advance(c)
 	g.strain += strainOwn * (float64(m.Strain)/100 - g.strain)
 	c.part, c.partAt = float64(m.Part)/250, g.now
-	c.store, c.told = float64(m.Fill)/250*c.plan.Burst, g.ticks+1
+	c.tokens, c.told = float64(m.Fill)/250*c.plan.Burst, g.ticks+1
 	if m.Verdict == waits {
 		r.waits, r.until = true, min(r.arrived+time.Duration(holdAim*float64(r.cl.Aim)), r.deadline-g.tick)
 		g.do(SetTimer{Token: "ask", After: max(g.set.Resolution, r.until-g.now)})
@@ -1089,9 +1090,9 @@
 
 // tell tells all gateways what has changed of a server that this one watches,
 // and again what still keeps it out of use. Each goes to every gateway, so all
-// watchers together keep to a part of the mail.
+// watchers together keep to a part of the datagrams.
 func (g *Gateway) tell(s *server) {
-	each := g.set.MailPerSecond * verdictMail / float64(max(1, len(g.fleet), g.list.len()))
+	each := g.set.MailPerSecond * verdictShare / float64(max(1, len(g.fleet), g.list.len()))
 	s.verdicts = min(verdictKeep, s.verdicts+each*(g.now-s.verdictAt).Seconds())
 	s.verdictAt = g.now
 	first := g.judgeOf(s) == g.set.Me
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -353,7 +353,7 @@
 	w := newWorld(t, base(), fleet(8))
 	s := w.send("safe", "open")
 	w.end(s, 0, OK)
-	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), out: 6, store: unknownStore})
+	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), out: 6, tokens: unknownTokens})
 	if _, acts := w.ask("safe", "open", "c", 1); len(acts) != 0 {
 		t.Fatalf("the peer has 2 out under a cap of 2, yet %v", acts)
 	}
@@ -391,26 +391,26 @@
 		most int
 	}{
 		{"told", func(w *world) {
-			w.hear(1, 1, 2, true, entry{hash: hashOf("c"), passed: 8, store: unknownStore})
+			w.hear(1, 1, 2, true, entry{hash: hashOf("c"), passed: 8, tokens: unknownTokens})
 		}, 2},
 		{"repeated", func(w *world) {
 			for range 3 {
-				w.hear(1, 1, 2, true, entry{hash: hashOf("c"), passed: 4, store: unknownStore})
+				w.hear(1, 1, 2, true, entry{hash: hashOf("c"), passed: 4, tokens: unknownTokens})
 			}
 		}, 6},
 		{"lost, then told", func(w *world) {
-			w.hear(1, 1, 9, true, entry{hash: hashOf("c"), passed: 8, store: unknownStore})
-			w.hear(1, 1, 3, true, entry{hash: hashOf("c"), passed: 4, store: unknownStore})
+			w.hear(1, 1, 9, true, entry{hash: hashOf("c"), passed: 8, tokens: unknownTokens})
+			w.hear(1, 1, 3, true, entry{hash: hashOf("c"), passed: 4, tokens: unknownTokens})
 		}, 2},
 		{"restarted", func(w *world) {
-			w.hear(1, 2, 1, true, entry{hash: hashOf("c"), passed: 8, store: unknownStore})
+			w.hear(1, 2, 1, true, entry{hash: hashOf("c"), passed: 8, tokens: unknownTokens})
 		}, 2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, base(), fleet(8))
 			w.spend(1, "rate")
 			w.pass(600 * ms)
-			w.hear(1, 1, 1, true, entry{hash: hashOf("c"), store: unknownStore})
+			w.hear(1, 1, 1, true, entry{hash: hashOf("c"), tokens: unknownTokens})
 			c.tell(w)
 			if n := w.spend(30, "rate"); n > c.most || n == 0 && c.most > 3 {
 				t.Fatalf("%d units passed, at most %d are left", n, c.most)
@@ -422,7 +422,7 @@
 func TestRestartAdoptsPeersStore(t *testing.T) {
 	w := newWorld(t, base(), fleet(8))
 	w.spend(1, "rate")
-	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), passed: 100, store: 25})
+	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), passed: 100, tokens: 25})
 	if n := w.spend(20, "rate"); n > 1 {
 		t.Fatalf("%d units passed though a peer knows of one", n)
 	}
@@ -431,7 +431,7 @@
 func TestSilentPeerNeitherFreesNorBlocks(t *testing.T) {
 	w := newWorld(t, base(), fleet(8))
 	w.spend(1, "open")
-	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), out: 6, held: 3, store: unknownStore})
+	w.hear(1, 1, 1, true, entry{hash: hashOf("c"), out: 6, held: 3, tokens: unknownTokens})
 	w.pass(3 * time.Second)
 	if n := w.spend(1, "open"); n != 1 {
 		t.Fatal("a silent peer's old count blocks the customer")
@@ -534,7 +534,7 @@
 	}
 }
 
-// A client refused for its quota is told when the store will have what it asks
+// A client refused for its quota is told when the token bucket will have what it asks
 // for: told to wait for longer it would come back too late to be served.
 func TestAdviceFollowsTheStore(t *testing.T) {
 	set := base()
@@ -779,7 +779,7 @@
 	}
 }
 
-// A low store is left to first tries.
+// A low token bucket is left to first tries.
 func TestRepeatsYieldWhenTheStoreIsLow(t *testing.T) {
 	for spent, want := range map[int]int{0: 1, 8: 0} {
 		w := newWorld(t, base(), fleet(8))
@@ -794,7 +794,7 @@
 	}
 }
 
-// A customer is forgotten once a fresh start comes to the same; the store must
+// A customer is forgotten once a fresh start comes to the same; the token bucket must
 // be full by then, and what others do with it must not be lost sight of.
 func TestIdleCustomersAreForgotten(t *testing.T) {
 	w := newWorld(t, base(), fleet(2))
@@ -804,7 +804,7 @@
 		w.now += 20 * ms
 	}
 	c := w.g.customers[keyOf("7")]
-	c.store = -500 // settled: not full for long
+	c.tokens = -500 // settled: not full for long
 	w.pass(forgetAfter + 3*time.Second)
 	w.spend(1, "rate")
 	if n := len(w.g.customers); n != 2 || w.g.customers[c.key] != c {
@@ -824,11 +824,11 @@
 	seq := uint32(0)
 	say := func(passed byte, anew bool) float64 {
 		seq++
-		m := report{inc: 9, seq: seq, complete: true, customers: []entry{{hash: c.hash, passed: passed, anew: anew, store: unknownStore}}}
+		m := report{inc: 9, seq: seq, complete: true, customers: []entry{{hash: c.hash, passed: passed, anew: anew, tokens: unknownTokens}}}
 		w.g.advance(c)
-		before := c.store
+		before := c.tokens
 		w.do(PeerMessage{From: 1, Data: m.encode()})
-		return before - c.store
+		return before - c.tokens
 	}
 	if d := say(3, true); d != 3 {
 		t.Errorf("%v units taken off at the first word of a fresh total of 3", d)
@@ -842,16 +842,16 @@
 	}
 }
 
-// What a peer just met says of the store is heeded: it may be full here only.
+// What a peer just met says of the token bucket is heeded: it may be full here only.
 func TestPeerJustMetTellsOfItsStore(t *testing.T) {
 	w := newWorld(t, base(), fleet(2))
 	w.pass(5 * time.Second)
 	w.spend(1, "rate")
 	c := w.g.customers[keyOf("c")]
-	m := report{inc: 9, seq: 1, complete: true, customers: []entry{{hash: c.hash, passed: 144, store: 50}}}
+	m := report{inc: 9, seq: 1, complete: true, customers: []entry{{hash: c.hash, passed: 144, tokens: 50}}}
 	w.do(PeerMessage{From: 1, Data: m.encode()})
-	if c.store > 2 {
-		t.Errorf("%v units in the store that a peer holds to have 2", c.store)
+	if c.tokens > 2 {
+		t.Errorf("%v units in the store that a peer holds to have 2", c.tokens)
 	}
 }
 
--- a/policy/report.go
+++ b/policy/report.go
@@ -42,7 +42,7 @@
 	passed byte   // running total of units passed, its lowest bits
 	rate   byte   // units asked for a second: rateScale * log2(1 + rate), up to maxRate
 	anew   bool   // the total began at nothing a moment ago: the highest bit of the rate
-	store  byte   // estimate of the store, 250 full
+	tokens byte   // estimate of the token bucket, 250 full
 }
 
 const (
@@ -55,7 +55,7 @@
 	serverBits    = 11
 	outScale      = 4
 	maxServers    = 36
-	unknownStore  = 255
+	unknownTokens = 255
 	maxMessage    = 256
 	headerSize    = 11
 	serverSize    = 2
@@ -89,7 +89,7 @@
 		if e.anew {
 			rate |= flagAnew
 		}
-		b = append(b, rate, e.store)
+		b = append(b, rate, e.tokens)
 	}
 	return b
 }
@@ -115,10 +115,10 @@
 		g.advance(c)
 		e := entry{hash: c.hash, held: byte(min(len(c.held), maxHeld)),
 			out:    byte(min(math.Round(outScale*math.Sqrt(c.mean)), 15)),
-			passed: byte(c.passed), store: unknownStore, anew: g.now-c.born < anewFor,
+			passed: byte(c.passed), tokens: unknownTokens, anew: g.now-c.born < anewFor,
 			rate: min(maxRate, small(rateScale*math.Log2(1+c.rate/demandSpan.Seconds())))}
 		if c.known && c.plan.Burst > 0 {
-			e.store = small(250 * max(c.store, 0) / c.plan.Burst)
+			e.tokens = small(250 * max(c.tokens, 0) / c.plan.Burst)
 		}
 		m.customers = append(m.customers, e)
 		c.told = g.ticks
@@ -148,7 +148,7 @@
 			return m, false
 		}
 		e := entry{hash: uint32(b[0])<<16 | uint32(b[1])<<8 | uint32(b[2]), out: b[3] >> 4, held: b[3] & maxHeld,
-			passed: b[4], rate: b[6] & maxRate, anew: b[6]&flagAnew != 0, store: b[7]}
+			passed: b[4], rate: b[6] & maxRate, anew: b[6]&flagAnew != 0, tokens: b[7]}
 		b = b[entrySize:]
 		m.customers = append(m.customers, e)
 	}
--- a/policy/serverlist.go
+++ b/policy/serverlist.go
@@ -158,7 +158,7 @@
 	s.Server, s.goneAt = m, 0
 	if m.State == Removed {
 		s.goneAt = gone
-		s.leave(g.now)
+		s.markRemoved(g.now)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -28,8 +28,8 @@
 	areaAt time.Duration
 	mean   float64
 
-	at        time.Duration // time of the stores below
-	store     float64       // estimate of the quota's store
+	at        time.Duration // time of the token buckets below
+	tokens    float64       // estimate of the quota's token bucket
 	known     bool          // the estimate rests on more than a fresh start
 	ceiling   float64       // own hard part of the ceiling
 	passed    uint16        // running totals of units, told to peers
@@ -58,9 +58,9 @@
 	r     *request
 }
 
-// take takes a request's units from the stores.
+// take takes a request's units from the token buckets.
 func (c *customer) take(r *request) {
-	c.store = max(0, c.store-r.units)
+	c.tokens = max(0, c.tokens-r.units)
 	if !r.granted {
 		c.ceiling -= r.units
 	}
@@ -217,7 +217,7 @@
 	speaks    map[int]uint16 // by which table a gateway speaks, where mixed
 	hinted    []int          // gateways told of the tables here since the last tick
 
-	left     map[int]time.Duration // gateways that have told that they end: until when they count as gone
+	departed map[int]time.Duration // gateways that have told that they end: until when they count as gone
 	leaving  bool                  // it ends, and hands its counts on
 	told     bool                  // and has told so
 	handing  []*part               // on their way
@@ -225,7 +225,7 @@
 	adopted  map[handKey]time.Duration // parts that have come: until when that is remembered
 	restored bool                      // it was told of the time before its start,
 	clean    bool                      // and of all that was let in then
-	kept     map[uint64]float64        // stores, as they were so long before the start
+	kept     map[uint64]float64        // token buckets, as they were so long before the start
 	keptFor  time.Duration
 
 	lapsedClasses map[string]*class // of the generation before, gone from the newest
@@ -243,7 +243,7 @@
 
 // settle takes or gives back units after a guess.
 func (c *customer) settle(units float64) {
-	c.store -= units
+	c.tokens -= units
 	c.passed += uint16(int(units))
 }
 
@@ -385,7 +385,7 @@
 func (g *Gateway) earn(dt time.Duration) {
 	part := dt.Seconds() / letSpan.Seconds()
 	g.credit = min(g.credit+g.lets*part, g.mostCredit())
-	if !g.deaf() {
+	if !g.isolated() {
 		g.lets *= math.Exp(-part)
 	}
 }
@@ -445,7 +445,7 @@
 		asks:   map[uint32]*request{},
 		byHash: map[uint32]*customer{}, reqs: map[RequestID]*request{}, servers: map[ServerID]*server{}, list: newServerList()}
 	g.inc = g.rng.Uint32()
-	g.tables, g.left, g.adopted = []*table{newTable(&s)}, map[int]time.Duration{}, map[handKey]time.Duration{}
+	g.tables, g.departed, g.adopted = []*table{newTable(&s)}, map[int]time.Duration{}, map[handKey]time.Duration{}
 	for i, p := range s.Plans {
 		g.plans[p.Name] = &quota{Plan: p, no: byte(i), fits: 1}
 	}
@@ -493,8 +493,8 @@
 	}
 }
 
-// leave notes that a server is in the list no longer.
-func (s *server) leave(now time.Duration) {
+// markRemoved notes that a server is in the list no longer.
+func (s *server) markRemoved(now time.Duration) {
 	s.State = Removed
 	if s.goneAt == 0 {
 		s.goneAt = now
@@ -527,7 +527,7 @@
 	})
 }
 
-// spent tells whether nothing is left of a customer: its store and its ceiling
+// spent tells whether nothing is left of a customer: its token bucket and its ceiling
 // are full again, nobody has anything out or held, and nothing is left to tell.
 func (g *Gateway) spent(c *customer) bool {
 	if c.out > 0 || len(c.held) > 0 || len(c.leases) > 0 || c.news() || c.area > 0 ||
@@ -540,7 +540,7 @@
 		}
 	}
 	g.advance(c)
-	return (c.plan.Rate == 0 || c.store >= c.plan.Burst) && (c.plan.HardRate == 0 || c.ceiling >= c.plan.HardBurst/c.n)
+	return (c.plan.Rate == 0 || c.tokens >= c.plan.Burst) && (c.plan.HardRate == 0 || c.ceiling >= c.plan.HardBurst/c.n)
 }
 
 // unname takes a customer's short hash out; another of the same hash has it for
--- a/policy/tables_test.go
+++ b/policy/tables_test.go
@@ -53,7 +53,7 @@
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 3))
-			w := newCrowd(t, 100, fleet(40))
+			w := newCluster(t, 100, fleet(40))
 			w.lose = func(int, int) bool { return rng.IntN(20) == 0 }
 			for i := range w.gs { // half by a reload, half of them by a new start
 				s := newer(base())
@@ -103,7 +103,7 @@
 // Where all tables are alike nothing is sent that an older program does not send
 // too, also after a reload of other figures.
 func TestAlikeTablesSendNothingMore(t *testing.T) {
-	w := newCrowd(t, 100, fleet(40))
+	w := newCluster(t, 100, fleet(40))
 	w.pass(2*time.Second, func(at time.Duration) {
 		w.request(int(at/ms)%50, RequestID(at), "k", "rate", "safe", 50)
 		if at == 11*time.Second {
@@ -114,7 +114,7 @@
 				w.do(i, Reconfigure{s})
 			}
 		}
-		for _, l := range w.mail {
+		for _, l := range w.inFlight {
 			switch m := decode(l.data).(type) {
 			case tables, markedSight, markedVerdict:
 				t.Fatalf("%T sent", m)
@@ -150,7 +150,7 @@
 	}
 }
 
-// New figures of a plan: a store is cut and never filled, also not by many
+// New figures of a plan: a token bucket is cut and never filled, also not by many
 // reloads; attempts out and held requests stay and are judged by the new cap.
 func TestReconfigureKeepsStores(t *testing.T) {
 	one := func() Settings {
@@ -162,7 +162,7 @@
 	if n := w.spend(4, "rate"); n != 4 {
 		t.Fatalf("%d passed", n)
 	}
-	store := func() float64 { return w.g.customers[keyOf("c")].store }
+	store := func() float64 { return w.g.customers[keyOf("c")].tokens }
 	before := store()
 	for range 1000 {
 		s := one()
@@ -324,7 +324,7 @@
 	s := base()
 	f.Add((&handed{Mark: newTable(&s).mark, Plan: 1, Spread: 9, Store: 3, Grants: []handedGrant{{1, 2, 3, 4}}}).encode())
 	f.Add(encode(took{1, 2}))
-	f.Add(encode(leave{1}))
+	f.Add(encode(departure{1}))
 	f.Add((&report{inc: 1, customers: []entry{{hash: 1}}}).encode())
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := base()
@@ -359,7 +359,7 @@
 			t.Fatalf("tag %d passes for marked", tag)
 		}
 		return of[Tell](w.do(PeerMessage{From: 9, Data: encode(ask{Customer: uint64(tag) << 40, Spread: 50, Plan: plan, Units: 1,
-			Left: 2000, Tag: tag, Thin: 250, Fill: unknownStore})}))
+			Left: 2000, Tag: tag, Thin: 250, Fill: unknownTokens})}))
 	}
 	granted := func(acts []Tell) bool {
 		if len(acts) != 1 || acts[0].To != 9 {
@@ -387,23 +387,23 @@
 }
 
 // A root hears of its customers' plans by asks alone: one whose plan is gone comes
-// under the plan that is asked by now, with what is left in its store.
+// under the plan that is asked by now, with what is left in its token bucket.
 func TestRootReplans(t *testing.T) {
 	s := base()
 	s.Gateways = 100
 	w := newWorld(t, s, fleet(4))
 	asks := func(plan byte, units uint16) *customer {
 		w.do(PeerMessage{From: 9, Data: encode(ask{Customer: 7, Spread: 50, Plan: plan, Units: units, Left: 2000,
-			Tag: w.g.newTag(w.g.tables[0]), Thin: 250, Fill: unknownStore})})
+			Tag: w.g.newTag(w.g.tables[0]), Thin: 250, Fill: unknownTokens})})
 		return w.g.customers[7]
 	}
 	if c := asks(1, 4); c == nil || c.plan.Name != "rate" {
 		t.Fatalf("%+v", c)
 	}
-	store := w.g.customers[7].store
+	store := w.g.customers[7].tokens
 	s.Plans = []Plan{s.Plans[0], {Name: "other", Rate: 20, Burst: 30}, s.Plans[2]}
 	w.do(Reconfigure{s})
-	if c := asks(1, 1); c.plan.Name != "other" || c.store > store {
-		t.Errorf("plan %s, a store of %v that held %v", c.plan.Name, c.store, store)
+	if c := asks(1, 1); c.plan.Name != "other" || c.tokens > store {
+		t.Errorf("plan %s, a store of %v that held %v", c.plan.Name, c.tokens, store)
 	}
 }
