--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -31,6 +32,8 @@
 	leastWait                                    = 50 * time.Millisecond
 	leastAnswer                                  = 100 * time.Millisecond
 
+	pacingSeed = 0x64697363 // the stream of random numbers that pacing draws from
+
 	mostCalls = 8 // beside one another, of those that are not answered
 )
 
@@ -43,13 +46,19 @@
 	answer  time.Duration // all other calls are answered by then, or another is made beside them
 	patient time.Duration // and given up so long after they were made
 	backoff time.Duration // the longest pause behind a call that failed
+	jitter  float64       // part of a pause and of some patience that is drawn at random: edge nodes must not call in step
 }
 
 // asked is the pacing where lists are asked for: the service is one for all edge nodes
 // and overrun by many calls. What a silent watch misses counts as told 6 s after it fell
 // silent; it is found out after 4 s, and the call that follows does not wait.
 var asked = pacing{wait: 3 * time.Second, slack: time.Second, answer: 2 * time.Second, patient: 2 * time.Second,
-	backoff: 400 * time.Millisecond}
+	backoff: 400 * time.Millisecond, jitter: 0.5}
+
+// shorten takes a random part off a time.
+func (p pacing) shorten(rng *rand.Rand, d time.Duration) time.Duration {
+	return d - time.Duration(p.jitter*rng.Float64()*float64(d))
+}
 
 // paceFor finds the pacing by a file. Where lists are pushed the agent answers at once and at
 // no cost, and what it has counts as told from the moment it is back. So nothing is waited for
@@ -71,6 +80,7 @@
 type discovery struct {
 	tell func(*serverList, policy.MembersKind)
 	http http.Client
+	rng  *rand.Rand // of run alone
 
 	mu    sync.Mutex
 	addr  string
@@ -79,10 +89,11 @@
 }
 
 func newDiscovery(f *config.File, tell func(*serverList, policy.MembersKind)) *discovery {
-	return &discovery{addr: f.Discovery, pace: paceFor(f), tell: tell, moved: func() {}, http: http.Client{
-		Transport:     &http.Transport{DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: asked.wait},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	return &discovery{addr: f.Discovery, pace: paceFor(f), tell: tell, moved: func() {},
+		rng: rand.New(rand.NewPCG(f.Seed, pacingSeed)), http: http.Client{
+			Transport:     &http.Transport{DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: asked.wait},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}}
 }
 
 // apply takes over a file. Where it names another address, the open watch ends and
@@ -116,10 +127,14 @@
 // meanwhile.
 func (d *discovery) follow(ctx context.Context, addr string) {
 	rev, have, backoff, down, bad := int64(0), false, leastBackoff, false, 0
+	failures := 0 // in a row
 	for ctx.Err() == nil {
 		d.mu.Lock()
 		pace := d.pace
 		d.mu.Unlock()
+		if failures%2 == 0 { // the next call has all the time, for a service that needs it
+			pace.patient = pace.shorten(d.rng, pace.patient)
+		}
 		url, began := "http://"+addr+"/v1/servers", time.Now()
 		var l *serverList
 		var err error
@@ -145,14 +160,15 @@
 			return
 		}
 		if err != nil {
-			sleep(ctx, backoff)
+			failures++
+			sleep(ctx, pace.shorten(d.rng, backoff))
 			backoff = min(2*backoff, pace.backoff)
 			continue
 		}
 		if down {
 			slog.Info("discovery answers again", "rev", l.Rev)
 		}
-		down, backoff = false, leastBackoff
+		down, backoff, failures = false, leastBackoff, 0
 		if have && l.Rev == rev && time.Since(began) < watchPause {
 			sleep(ctx, watchPause) // it does not wait as it should: don't ask without pause
 		}
@@ -193,7 +209,7 @@
 	call()
 	again := time.NewTicker(pace.answer)
 	defer again.Stop()
-	if pace.answer == pace.patient { // where calls cost
+	if pace.answer >= pace.patient { // where calls cost
 		again.Stop()
 	}
 	for {
