--- /dev/null
+++ b/internal/roster/decode_test.go
@@ -0,0 +1,167 @@
+package roster
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+	"unsafe"
+)
+
+// endless gives one text for ever and counts what was taken of it.
+type endless struct {
+	text string
+	read int
+}
+
+func (e *endless) Read(b []byte) (int, error) {
+	n := copy(b, e.text[e.read%len(e.text):])
+	e.read += n
+	return n, nil
+}
+
+func numbered(i int) string {
+	return strings.Replace(goodLine, "s-00000001", fmt.Sprintf("s-%08x", i), 1)
+}
+
+// A list that is not whole is refused, and the error names the place where there is one.
+func TestDecodeRefuses(t *testing.T) {
+	limits := Limits{Bytes: 2000, Lines: 5}
+	var six []string
+	for i := range 6 {
+		six = append(six, numbered(i))
+	}
+	for why, c := range map[string]struct{ text, place string }{
+		"empty":             {``, "cut short"},
+		"null":              {`null`, "not a JSON object"},
+		"cut in a line":     {`{"targets":[` + numbered(1) + `,` + numbered(2)[:40], "targets: line 1"},
+		"cut behind a line": {`{"targets":[` + numbered(1) + `,`, "targets: line 1"},
+		"cut behind all":    {`{"targets":[` + numbered(1) + `]`, "cut short"},
+		"more behind it":    {`{"targets":[` + numbered(1) + `]} {}`, "more behind it"},
+		"no JSON":           {`{"targets":[` + numbered(1) + `,x]}`, "targets: line 1"},
+		"lines twice":       {`{"targets":[` + numbered(1) + `],"targets":[]}`, "targets: there twice"},
+		"too many lines":    {`{"targets":[` + strings.Join(six, ",") + `]}`, "targets: line 5"},
+		"blanks":            {`{"targets":[` + strings.Repeat(" ", mostBlanks+1) + numbered(1) + `]}`, "blank bytes"},
+		"too many bytes":    {`{"other":"` + strings.Repeat("x", 2000) + `","targets":[` + numbered(1) + `]}`, "too long"},
+	} {
+		l, err := Decode(strings.NewReader(c.text), limits)
+		if err == nil || !strings.Contains(err.Error(), c.place) || l != nil {
+			t.Errorf("%s: %v, want it to name %q", why, err, c.place)
+		}
+	}
+	if l, err := Decode(strings.NewReader(`{"rev":2,"targets":[`+strings.Join(six[:5], ",")+`]}`), limits); err != nil || len(l.Targets) != 5 {
+		t.Errorf("%+v, %v: a list at the limit", l, err)
+	}
+}
+
+// What never ends is read up to the limit and no further.
+func TestDecodeEndless(t *testing.T) {
+	limits := Limits{Bytes: 100000, Lines: 1 << 20}
+	for _, text := range []string{goodLine + ",", " ", "[", `"x":1,`, "x", `{"uid":`, "7,"} {
+		e := &endless{text: text}
+		for _, before := range []string{`{"targets":[`, `{"targets":[{"uid":"`, `{`, `{"more":`, `{"more":"`} {
+			_, err := Decode(io.MultiReader(strings.NewReader(before), e), limits)
+			if err == nil || int64(e.read) > limits.Bytes+1 {
+				t.Errorf("%s%s...: %v, %d bytes read", before, text, err, e.read)
+			}
+			e.read = 0
+		}
+	}
+}
+
+// A uid that is there twice is told of by its place; another uid of the same ID can't be used.
+func TestDecodeRepeatedUID(t *testing.T) {
+	l, err := Decode(strings.NewReader(`{"targets":[`+numbered(1)+`,{},`+numbered(2)+`,`+numbered(1)+`]}`), LimitsFor(0))
+	if err != nil || !errors.Is(l.Twice, ErrTwice) || !strings.HasPrefix(l.Twice.Error(), "targets[3]: ") || l.Bad != 1 {
+		t.Errorf("%+v, %v", l, err)
+	}
+	other := fmt.Sprintf("s-%08X", 0xabcdef01) // the same number in upper case
+	lines := strings.Replace(goodLine, "s-00000001", "s-abcdef01", 1) + "," + strings.Replace(goodLine, "s-00000001", other, 1)
+	l, err = Decode(strings.NewReader(`{"targets":[`+lines+`]}`), LimitsFor(0))
+	if err != nil || l.Twice != nil || len(l.Targets) != 1 || l.Bad != 1 || !strings.HasPrefix(l.BadWhy.Error(), "targets[1]: uid: ") {
+		t.Errorf("%+v, %v", l, err)
+	}
+}
+
+// Strings that come often are held once, and the table of them is bounded.
+func TestDecodeSharesStrings(t *testing.T) {
+	var lines []string
+	for i := range 2 * mostWords {
+		zone := "zone-1"
+		if i >= 2 {
+			zone = fmt.Sprint("zone-", i)
+		}
+		lines = append(lines, strings.Replace(numbered(i), `"a"`, `"`+zone+`"`, 1))
+	}
+	l, err := Decode(strings.NewReader(`{"targets":[`+strings.Join(lines, ",")+`]}`), LimitsFor(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, b := l.Targets[0], l.Targets[1]
+	if unsafe.StringData(a.Zone) != unsafe.StringData(b.Zone) || unsafe.StringData(a.State) != unsafe.StringData(b.State) {
+		t.Error("equal zones or states are held twice")
+	}
+	w := words{}
+	for i := range 2 * mostWords {
+		w.share(fmt.Sprint(i))
+	}
+	w.share(strings.Repeat("x", mostWordSize+1))
+	if len(w) != mostWords {
+		t.Errorf("%d strings are held", len(w))
+	}
+}
+
+// The limits follow the memory limit, with a floor.
+func TestLimitsFor(t *testing.T) {
+	for memory, want := range map[int]int64{0: defaultBytes, 1: leastBytes, 192: 32 << 20, 1 << 24: 1 << 44 / listPart} {
+		if l := LimitsFor(memory); l.Bytes != want || l.Lines < 1 || int64(l.Lines) > l.Bytes/bytesPerLine {
+			t.Errorf("%d MiB: %+v", memory, l)
+		}
+	}
+}
+
+// Whatever the text of a line, both ways to decode it come to the same.
+func FuzzLine(f *testing.F) {
+	for _, text := range []string{goodLine, `{}`, `null`, `7`, `{"uid":"a","UID":"b","state":"DELETED"}`, `{"uid":"a","uid":null,"state":"DELETED"}`,
+		`{"uid":"a","more":{"uid":"b","x":["}\""]},"state":"DELETED"}`, `{"u\u0069d":"a","state":"DELETED"}`, `{"uid":"a\\","state":"DELETED","\u017ftate":"x"}`,
+		` { "uid" : "s-1" , "state" : "DELETED" , "weight" : -1e400 }`} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if !json.Valid(raw) {
+			return
+		}
+		var quick decodedLine
+		if err := json.Unmarshal(raw, &quick); err != nil {
+			t.Fatal(err)
+		}
+		var exact Target
+		err := exact.read(raw)
+		if (err == nil) != (quick.err == nil) || err == nil && !reflect.DeepEqual(exact, quick.target) {
+			t.Fatalf("%+v, %v; by exact names %+v, %v", quick.target, quick.err, exact, err)
+		}
+	})
+}
+
+// BenchmarkDecode decodes a list of the planned size.
+func BenchmarkDecode(b *testing.B) {
+	var text strings.Builder
+	text.WriteString(`{"rev":1,"all":true,"targets":[`)
+	for i := range 56000 {
+		if i > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(numbered(i))
+	}
+	text.WriteString(`]}`)
+	b.SetBytes(int64(text.Len()))
+	b.ReportAllocs()
+	for b.Loop() {
+		if l, err := Decode(strings.NewReader(text.String()), LimitsFor(192)); err != nil || len(l.Targets) != 56000 {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -6,10 +6,12 @@
 package roster
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -27,6 +29,7 @@
 
 	Bad    int   `json:"-"` // lines that were passed over when the list was read
 	BadWhy error `json:"-"` // what is wrong with the first of them; nil: there is none
+	Twice  error `json:"-"` // names the first uid that is there twice (ErrTwice); nil: there is none
 }
 
 // Target is one line of it.
@@ -54,31 +57,13 @@
 	return nil
 }
 
-// UnmarshalJSON reads a list. Lines that can't be used are counted and passed over. It
-// fails for what is no list, and for one with lines of which none can be used.
+// UnmarshalJSON reads a list that is held in memory already, as Decode does.
 func (l *List) UnmarshalJSON(data []byte) error {
-	var f fields
-	if err := json.Unmarshal(data, &f); err != nil {
-		return err
-	}
-	var lines []json.RawMessage
-	out := List{}
-	if err := errors.Join(f.take("rev", &out.Rev), f.take("all", &out.All), f.take("targets", &lines)); err != nil {
+	out, err := Decode(bytes.NewReader(data), Limits{Bytes: noBytes, Lines: math.MaxInt32})
+	if err != nil {
 		return err
 	}
-	out.Targets = make([]Target, 0, len(lines))
-	for i, raw := range lines {
-		var t Target
-		if err := t.read(raw); err == nil {
-			out.Targets = append(out.Targets, t)
-		} else if out.Bad++; out.Bad == 1 {
-			out.BadWhy = fmt.Errorf("targets[%d]: %w", i, err)
-		}
-	}
-	if out.Bad > 0 && len(out.Targets) == 0 {
-		return fmt.Errorf("none of %d lines can be used; %w", out.Bad, out.BadWhy)
-	}
-	*l = out
+	*l = *out
 	return nil
 }
 
@@ -93,6 +78,11 @@
 		f.take("boot_ms", &t.BootMS)); err != nil {
 		return err
 	}
+	return t.check()
+}
+
+// check tells why a line can't be used, and drops figures that can't be meant.
+func (t *Target) check() error {
 	for _, v := range []*float64{&t.Weight, &t.BootMS} {
 		if *v < 0 || *v > mostFigure {
 			*v = 0 // not told
