--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"valvering.example/valvering/internal/config"
@@ -23,9 +23,8 @@
 )
 
 const (
-	watchPause    = 50 * time.Millisecond // a watch goes on if the next call comes within 200 ms
-	leastBackoff  = 25 * time.Millisecond
-	mostListBytes = 4 << 20
+	watchPause   = 50 * time.Millisecond // a watch goes on if the next call comes within 200 ms
+	leastBackoff = 25 * time.Millisecond
 
 	// Of the grace in which sends to a draining server must end, where lists are pushed.
 	waitPart, slackPart, answerPart, backoffPart = 0.25, 0.125, 0.25, 0.125
@@ -35,6 +34,9 @@
 	pacingSeed = 0x64697363 // the stream of random numbers that pacing draws from
 
 	mostCalls = 8 // beside one another, of those that are not answered
+
+	answerStep = 64 << 10         // bytes of an answer after which it counts as coming
+	mostAnswer = 10 * time.Second // and then it may go on so long
 )
 
 // pacing is for how long discovery is waited for. A call that is not answered can't be
@@ -82,14 +84,15 @@
 	http http.Client
 	rng  *rand.Rand // of run alone
 
-	mu    sync.Mutex
-	addr  string
-	pace  pacing
-	moved context.CancelFunc // ends the watch at the address before
+	mu     sync.Mutex
+	addr   string
+	pace   pacing
+	limits roster.Limits
+	moved  context.CancelFunc // ends the watch at the address before
 }
 
 func newDiscovery(f *config.File, tell func(*serverList, policy.MembersKind)) *discovery {
-	return &discovery{addr: f.Discovery, pace: paceFor(f), tell: tell, moved: func() {},
+	return &discovery{addr: f.Discovery, pace: paceFor(f), limits: roster.LimitsFor(f.MemoryMB), tell: tell, moved: func() {},
 		rng: rand.New(rand.NewPCG(f.Seed, pacingSeed)), http: http.Client{
 			Transport:     &http.Transport{DisableCompression: true, MaxIdleConns: 1, IdleConnTimeout: asked.wait},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -101,7 +104,7 @@
 func (d *discovery) apply(f *config.File) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pace = paceFor(f)
+	d.pace, d.limits = paceFor(f), roster.LimitsFor(f.MemoryMB)
 	if d.addr != f.Discovery {
 		d.addr = f.Discovery
 		d.moved()
@@ -149,7 +152,7 @@
 		case have && down:
 			l, err = d.ask(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=0", url, rev), pace, failed)
 		case have:
-			l, err = d.get(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, rev, pace.wait.Milliseconds()), pace.wait+pace.slack)
+			l, err = d.get(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, rev, pace.wait.Milliseconds()), pace.wait+pace.slack, new(atomic.Int64))
 			if err != nil && ctx.Err() == nil {
 				failed(err)
 			}
@@ -159,6 +162,10 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && l.Twice != nil && (l.All || !have) {
+			err = l.Twice // it contradicts itself; among changes the last line counts
+			failed(err)
+		}
 		if err != nil {
 			failures++
 			sleep(ctx, pace.shorten(d.rng, backoff))
@@ -189,7 +196,7 @@
 
 // ask makes a call that does not wait for news. While it is not answered others are made
 // beside it: it may have been swallowed, and the agent back; or the agent is slow, and to
-// give it up would be to hear nothing. Each call that fails is told of; the error comes
+// give it up would be to hear nothing. While an answer is coming none is made. Each call that fails is told of; the error comes
 // when none is out any more.
 func (d *discovery) ask(ctx context.Context, url string, pace pacing, failed func(error)) (*serverList, error) {
 	ctx, end := context.WithCancel(ctx)
@@ -199,10 +206,12 @@
 		err error
 	}
 	answers, out := make(chan answer, mostCalls), 0
+	var steps atomic.Int64 // of the answers that are coming
+	seen := int64(0)
 	call := func() {
 		out++
 		go func() {
-			l, err := d.get(ctx, url, pace.patient)
+			l, err := d.get(ctx, url, pace.patient, &steps)
 			answers <- answer{l, err}
 		}()
 	}
@@ -225,16 +234,25 @@
 				return nil, a.err
 			}
 		case <-again.C:
-			if out < mostCalls && ctx.Err() == nil {
+			coming := steps.Load() > seen
+			seen = steps.Load()
+			if !coming && out < mostCalls && ctx.Err() == nil {
 				call()
 			}
 		}
 	}
 }
 
-func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (*serverList, error) {
-	ctx, end := context.WithTimeout(ctx, limit)
-	defer end()
+// get makes one call. It is given up where nothing comes for the limit; steps counts the
+// full steps of its answer.
+func (d *discovery) get(ctx context.Context, url string, limit time.Duration, steps *atomic.Int64) (*serverList, error) {
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	giveUp := time.AfterFunc(limit, func() { end(fmt.Errorf("no answer within %v", limit)) })
+	defer giveUp.Stop()
+	d.mu.Lock()
+	limits := d.limits
+	d.mu.Unlock()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -247,16 +265,30 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostListBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > mostListBytes {
-		return nil, fmt.Errorf("a list of over %d bytes", mostListBytes)
+	body := &answerReader{from: resp.Body, steps: steps, began: time.Now(), limit: limit, giveUp: giveUp}
+	return roster.Decode(body, limits)
+}
+
+// answerReader reads an answer that may be large. Whoever sends it without a stop is
+// given more time, within a bound.
+type answerReader struct {
+	from   io.Reader
+	steps  *atomic.Int64
+	part   int // bytes since the last step
+	began  time.Time
+	limit  time.Duration
+	giveUp *time.Timer
+}
+
+func (r *answerReader) Read(b []byte) (int, error) {
+	n, err := r.from.Read(b)
+	if r.part += n; r.part < answerStep {
+		return n, err
 	}
-	var l serverList
-	if err := json.Unmarshal(body, &l); err != nil {
-		return nil, err
+	r.part = 0
+	r.steps.Add(1)
+	if time.Since(r.began) < mostAnswer {
+		r.giveUp.Reset(r.limit)
 	}
-	return &l, nil
+	return n, err
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -299,3 +303,98 @@
 		time.Sleep(time.Second) // for the answer that was being made
 	})
 }
+
+// logLines counts the lines of the log that warn, and keeps the last.
+type logLines struct {
+	slog.Handler
+	mu    sync.Mutex
+	warns int
+	last  string
+}
+
+func (l *logLines) Enabled(context.Context, slog.Level) bool { return true }
+
+func (l *logLines) Handle(_ context.Context, r slog.Record) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Level >= slog.LevelWarn {
+		l.warns++
+		l.last = r.Message
+		r.Attrs(func(a slog.Attr) bool { l.last += " " + a.String(); return true })
+	}
+	return nil
+}
+
+// A list that can't be used changes nothing, however often it comes: the one held stays,
+// and one line of the log tells what is wrong and where.
+func TestRefusedListsChangeNothing(t *testing.T) {
+	line := func(i int) string {
+		return fmt.Sprintf(`{"uid":"s-%08x","endpoint":"10.0.0.1:1","state":"SERVING"}`, i)
+	}
+	endless := func(text string) func(io.Writer) {
+		return func(w io.Writer) {
+			_, err := io.WriteString(w, `{"rev":10,"all":true,"targets":[`+line(1))
+			for err == nil {
+				_, err = io.WriteString(w, text)
+			}
+		}
+	}
+	text := func(s string) func(io.Writer) { return func(w io.Writer) { _, _ = io.WriteString(w, s) } }
+	for place, write := range map[string]func(io.Writer){
+		"targets: line 1":    text(`{"rev":10,"all":true,"targets":[` + line(1) + `,{"uid":"s-0000`),
+		"line 0: over 1024 ": text(`{"rev":10,"all":true,"targets":[` + strings.Repeat(" ", 2000)),
+		"targets[1]":         text(`{"rev":10,"all":true,"targets":[` + line(1) + `,` + line(1) + `]}`),
+		"none of 2 lines":    text(`{"rev":10,"all":true,"targets":[{},{}]}`),
+		"rev: ":              text(`{"rev":"ten","all":true,"targets":[]}`),
+		"list is too long":   endless(`,{"uid":"` + strings.Repeat("x", 64000) + `"}`),
+		"over 26214 lines":   endless("," + line(1)),
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			log := &logLines{Handler: slog.DiscardHandler}
+			before := slog.Default()
+			slog.SetDefault(slog.New(log))
+			defer slog.SetDefault(before)
+			network := newPipes()
+			var watches atomic.Int32
+			srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch since := r.URL.Query().Get("since"); {
+				case since == "":
+					text(`{"rev":9,"all":true,"targets":[` + line(1) + `]}`)(w)
+				case watches.Add(1) <= 3:
+					write(w)
+				default:
+					time.Sleep(100 * time.Millisecond)
+					text(`{"rev":11,"all":false,"targets":[` + line(2) + `]}`)(w)
+				}
+			})}
+			go func() { _ = srv.Serve(network) }()
+			type event struct {
+				rev  int64
+				kind policy.MembersKind
+			}
+			heard := make(chan event, 100)
+			d := newDiscovery(&config.File{Discovery: "agent", DrainGrace: 2 * time.Second, MemoryMB: 16}, func(l *serverList, kind policy.MembersKind) {
+				if l == nil {
+					l = &serverList{}
+				}
+				heard <- event{l.Rev, kind}
+			})
+			d.http.Transport.(*http.Transport).DialContext = network.DialContext
+			ctx, end := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { d.run(ctx); close(done) }()
+			for i, want := range []event{{9, policy.Whole}, {0, policy.AskFailed}, {0, policy.AskFailed}, {0, policy.AskFailed}, {11, policy.Changes}} {
+				if got := <-heard; got != want {
+					t.Errorf("%s: event %d: %+v, want %+v", place, i, got, want)
+				}
+			}
+			if log.warns != 1 || !strings.Contains(log.last, place) || len(log.last) > 500 {
+				t.Errorf("%d warnings, the last %q, want one that names %q", log.warns, log.last, place)
+			}
+			end()
+			<-done
+			_ = srv.Close()
+			time.Sleep(time.Minute)
+		})
+	}
+}
