--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -50,8 +50,8 @@
 		r.up.mu.Lock()
 		defer r.up.mu.Unlock()
 		kept := 0
-		for _, s := range r.up.servers {
-			kept += len(s.idle)
+		for _, idle := range r.up.idle {
+			kept += len(idle)
 		}
 		return r.up.open == kept
 	})
@@ -280,8 +280,8 @@
 		testkit.Eventually(t, "the request out", func() bool { return a.seen.Load() == 1 })
 		news(u, a.addr())
 		let()
-		if r := <-done; r.code != policy.OK || len(u.servers[1].idle) != 0 || u.open != 0 {
-			t.Fatalf("%s: code %d, %d idle, %d open: the connection came back", name, r.code, len(u.servers[1].idle), u.open)
+		if r := <-done; r.code != policy.OK || len(u.idle[1]) != 0 || u.open != 0 {
+			t.Fatalf("%s: code %d, %d idle, %d open: the connection came back", name, r.code, len(u.idle[1]), u.open)
 		}
 		begun, letDial := holdDials(u)
 		_, do = u.try(patience)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/roster"
 	"valvering.example/valvering/policy"
 )
 
@@ -55,7 +56,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	clk := clock{time.Now()}
-	up := &upstream{clock: clk, rest: restFor, fields: cfg.Settings.ReportNames, servers: map[policy.ServerID]*appServer{}}
+	up := newUpstream(clk, roster.NewDirectory(), cfg.Settings.ReportNames)
 	clients, servers := descriptors(cfg)
 	up.limit(cfg, servers)
 	n := &Node{cfg: cfg, history: h, kept: kept, stay: make(chan chan error), up: up, loop: newLoop(clk, g, up)}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -38,25 +38,20 @@
 	rest   time.Duration // before an idle connection is used again
 	fields []string      // of load reports, by the module's order
 
-	mu           sync.Mutex
-	dial         net.Dialer
-	idleFor      time.Duration
-	grace        time.Duration
-	most         int // connections at once, to all servers
-	open         int
-	ages         idleAges
-	incarnations uint64 // processes of app servers that were heard of
-	servers      map[policy.ServerID]*appServer
+	list *roster.Directory
+
+	mu      sync.Mutex
+	dial    net.Dialer
+	idleFor time.Duration
+	grace   time.Duration
+	most    int // connections at once, to all servers
+	open    int
+	ages    idleAges
+	idle    map[policy.ServerID][]*upConn // newest last; only of servers that have, or lately had, any
 }
 
-// appServer is one server with its idle connections, newest last.
-type appServer struct {
-	addr        string
-	boot        float64
-	incarnation uint64 // the process there: another one has another, also under the same id and address
-	state       policy.State
-	since       time.Duration // when this edge node heard that it drains
-	idle        []*upConn
+func newUpstream(c clock, list *roster.Directory, loadNames []string) *upstream {
+	return &upstream{clock: c, rest: restFor, fields: loadNames, list: list, idle: map[policy.ServerID][]*upConn{}}
 }
 
 // upConn is a connection to an app server.
@@ -180,61 +175,32 @@
 	}
 }
 
-// update takes over the list or changes to it.
+// update takes over the list or changes to it. What is gone is forgotten: an attempt that
+// is out has its connection, and nothing new finds a way there. What drains wants nothing
+// new: its connections are scarce.
 func (u *upstream) update(l *serverList, whole bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := u.clock.now()
-	listed := map[policy.ServerID]bool{}
-	for i := range l.Targets {
-		t := &l.Targets[i]
-		id := roster.ID(t.UID)
-		listed[id] = true
-		s := u.servers[id]
-		if s == nil {
-			s = &appServer{}
-			u.servers[id] = s
-		}
-		if s.incarnation == 0 || t.State != roster.Gone && (s.addr != t.Endpoint || s.boot != t.BootMS) {
-			u.dropIdle(s) // they lead to the process before
-			u.incarnations++
-			s.addr, s.boot, s.incarnation = t.Endpoint, t.BootMS, u.incarnations
-		}
-		u.become(s, t.PolicyState(), now)
-	}
-	// What is gone is forgotten: an attempt that is out has its connection, and
-	// nothing new finds a way there.
-	for id, s := range u.servers {
-		if s.state == policy.Removed || whole && !listed[id] {
-			u.dropIdle(s)
-			delete(u.servers, id)
-		}
-	}
-}
-
-func (u *upstream) become(s *appServer, state policy.State, now time.Duration) {
-	if s.state == policy.Running && state != policy.Running {
-		s.since = now
-		u.dropIdle(s) // it wants nothing new: its connections are scarce
-	}
-	s.state = state
+	u.list.Update(l, whole, u.clock.now(), u.dropIdle)
 }
 
-func (u *upstream) dropIdle(s *appServer) {
-	for _, c := range s.idle {
+// dropIdle closes the idle connections to a server. The caller holds u.mu.
+func (u *upstream) dropIdle(id policy.ServerID) {
+	for _, c := range u.idle[id] {
 		c.Close()
+		u.open--
 	}
-	u.open -= len(s.idle)
-	s.idle = nil
+	delete(u.idle, id)
 }
 
 // closed tells whether new work to a process of the server is over: another is there by
 // now, or it drains. It is so before the grace runs out: the bytes have a way to go yet.
 func (u *upstream) closed(id policy.ServerID, incarnation uint64) bool {
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	s := u.servers[id]
-	return s == nil || s.incarnation != incarnation || s.state != policy.Running && u.clock.now()-s.since > max(0, u.grace-graceMargin)
+	grace := u.grace
+	u.mu.Unlock()
+	s, listed := u.list.Find(id)
+	return !listed || s.Incarnation != incarnation || s.State != policy.Running && u.clock.now()-s.Since > max(0, grace-graceMargin)
 }
 
 // take returns the newest idle connection that is still good, or else one to the
@@ -243,17 +209,19 @@
 func (u *upstream) take(id policy.ServerID) (c *upConn, addr string, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s := u.servers[id]
-	if s == nil {
+	s, listed := u.list.Find(id)
+	if !listed {
 		return nil, "", false
 	}
 	now, most := u.clock.now(), u.ages.most(u.idleFor)
-	for i := len(s.idle) - 1; i >= 0; i-- {
-		c := s.idle[i]
+	idle := u.idle[id]
+	for i := len(idle) - 1; i >= 0; i-- {
+		c := idle[i]
 		if now-c.used < u.rest {
 			continue
 		}
-		s.idle = slices.Delete(s.idle, i, i+1)
+		idle = slices.Delete(idle, i, i+1)
+		u.idle[id] = idle
 		if now-c.used < most && alive(c) {
 			return c, "", true
 		}
@@ -264,22 +232,23 @@
 		return nil, "", false
 	}
 	u.open++
-	return &upConn{incarnation: s.incarnation}, s.addr, true
+	return &upConn{incarnation: s.Incarnation}, s.Addr.String(), true
 }
 
 // dropOldest closes the connection that is idle for longest.
 func (u *upstream) dropOldest() bool {
-	var from *appServer
-	for _, s := range u.servers {
-		if len(s.idle) > 0 && (from == nil || s.idle[0].used < from.idle[0].used) {
-			from = s
+	var from policy.ServerID
+	var oldest *upConn
+	for id, idle := range u.idle {
+		if len(idle) > 0 && (oldest == nil || idle[0].used < oldest.used) {
+			from, oldest = id, idle[0]
 		}
 	}
-	if from == nil {
+	if oldest == nil {
 		return false
 	}
-	from.idle[0].Close()
-	from.idle = slices.Delete(from.idle, 0, 1)
+	oldest.Close()
+	u.idle[from] = slices.Delete(u.idle[from], 0, 1)
 	u.open--
 	return true
 }
@@ -298,14 +267,14 @@
 func (u *upstream) keep(id policy.ServerID, c *upConn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s := u.servers[id]
-	if s == nil || s.state != policy.Running || s.incarnation != c.incarnation || u.open > u.most {
+	s, listed := u.list.Find(id)
+	if !listed || s.State != policy.Running || s.Incarnation != c.incarnation || u.open > u.most {
 		c.Close()
 		u.open--
 		return
 	}
 	c.used = u.clock.now()
-	s.idle = append(s.idle, c)
+	u.idle[id] = append(u.idle[id], c)
 }
 
 // sweep closes connections that are idle for long or that the server closed.
@@ -314,8 +283,8 @@
 	defer u.mu.Unlock()
 	now, most := u.clock.now(), u.ages.most(u.idleFor)
 	u.ages.fade()
-	for _, s := range u.servers {
-		s.idle = slices.DeleteFunc(s.idle, func(c *upConn) bool {
+	for id, idle := range u.idle {
+		idle = slices.DeleteFunc(idle, func(c *upConn) bool {
 			if now-c.used < most && alive(c) {
 				return false
 			}
@@ -323,6 +292,9 @@
 			u.open--
 			return true
 		})
+		if u.idle[id] = idle; len(idle) == 0 {
+			delete(u.idle, id)
+		}
 	}
 }
 
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -10,14 +10,15 @@
 	"testing"
 	"time"
 
+	"valvering.example/valvering/internal/roster"
 	"valvering.example/valvering/internal/testkit"
 	"valvering.example/valvering/policy"
 )
 
 // pool makes an upstream that knows one app server, number 1.
 func pool(addr string) *upstream {
-	u := &upstream{clock: clock{time.Now()}, dial: net.Dialer{Timeout: patience}, idleFor: time.Minute, most: 10,
-		grace: 250 * time.Millisecond, fields: []string{"cpu", "rps"}, servers: map[policy.ServerID]*appServer{}}
+	u := newUpstream(clock{time.Now()}, roster.NewDirectory(), []string{"cpu", "rps"})
+	u.dial, u.idleFor, u.most, u.grace, u.rest = net.Dialer{Timeout: patience}, time.Minute, 10, 250*time.Millisecond, 0
 	u.update(&serverList{Targets: []target{serving("s-00000001", addr)}}, true)
 	return u
 }
@@ -118,7 +119,7 @@
 			if r.code != c.want || r.code == policy.OK && body != "hits" {
 				t.Errorf("code %d, body %q, want code %d", r.code, body, c.want)
 			}
-			if kept := len(u.servers[1].idle) == 1; kept != c.kept || u.open != len(u.servers[1].idle) {
+			if kept := len(u.idle[1]) == 1; kept != c.kept || u.open != len(u.idle[1]) {
 				t.Errorf("connection kept %v, want %v; %d counted as open", kept, c.kept, u.open)
 			}
 			if n := a.seen.Load(); n != 1 {
@@ -193,7 +194,7 @@
 	testkit.Eventually(t, "the server's close on the idle connection", func() bool {
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		return len(u.servers[1].idle) == 1 && !alive(u.servers[1].idle[0])
+		return len(u.idle[1]) == 1 && !alive(u.idle[1][0])
 	})
 	_, do = u.try(patience)
 	if r, _ := do(); r.code != policy.OK || a.conns.Load() != 2 {
@@ -214,7 +215,7 @@
 	}
 	u.idleFor = 0
 	u.sweep()
-	if u.open != 0 || len(u.servers[1].idle) != 0 {
+	if u.open != 0 || len(u.idle[1]) != 0 {
 		t.Errorf("%d open after their time", u.open)
 	}
 }
@@ -241,7 +242,7 @@
 	testkit.Eventually(t, "the copies", func() bool {
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		return !alive(u.servers[1].idle[0]) && !alive(u.servers[1].idle[1])
+		return !alive(u.idle[1][0]) && !alive(u.idle[1][1])
 	})
 	_, do := u.try(patience)
 	if _, body := do(); body != "hits" || a.conns.Load() != 3 {
@@ -291,7 +292,7 @@
 		_, do := u.try(patience)
 		do()
 		u.mu.Lock()
-		for _, c := range u.servers[1].idle {
+		for _, c := range u.idle[1] {
 			c.used -= 200 * time.Millisecond // as if it had stood for so long
 		}
 		full := u.ages.most(u.idleFor) < u.idleFor
@@ -328,6 +329,27 @@
 	}
 }
 
+// What sweeps and bounds walk over are servers with idle connections, not the list.
+func TestIdleIsKeptOfFewServers(t *testing.T) {
+	a := newApp(t, answer("200 OK", "", "hits"))
+	u := pool(a.addr())
+	large := &serverList{}
+	for i := range 5000 {
+		large.Targets = append(large.Targets, serving(fmt.Sprintf("s-%08x", i+1), a.addr()))
+	}
+	u.update(large, true)
+	_, do := u.try(patience)
+	if do(); len(u.idle) != 1 || u.list.Len() != 5000 {
+		t.Errorf("%d servers with idle connections, of %d", len(u.idle), u.list.Len())
+	}
+	if c, _, ok := u.take(1); !ok || c.Conn == nil {
+		t.Error("the idle connection is not used again")
+	}
+	if u.sweep(); len(u.idle) != 0 {
+		t.Errorf("%d servers without idle connections are walked over", len(u.idle))
+	}
+}
+
 // New work to a server that drains is over when the grace is: a send decided
 // before, but delayed by its dial, must not be written after.
 func TestDrainedServerGetsNothing(t *testing.T) {
@@ -336,10 +358,12 @@
 	drains := serving("s-00000001", a.addr())
 	drains.State = "DRAINING"
 	u.update(&serverList{Targets: []target{drains}}, false)
-	if u.closed(1, u.servers[1].incarnation) {
+	s, _ := u.list.Find(1)
+	if u.closed(1, s.Incarnation) {
 		t.Error("closed before the grace is over")
 	}
-	u.servers[1].since -= u.grace
+	u.update(&serverList{Targets: []target{serving("s-00000001", a.addr())}}, false)
+	u.list.Update(&serverList{Targets: []target{drains}}, false, u.clock.now()-u.grace, u.dropIdle) // as if heard then
 	_, do := u.try(patience)
 	if r, _ := do(); r.code != policy.ConnectFailed || a.seen.Load() != 0 {
 		t.Errorf("code %d after %d requests", r.code, a.seen.Load())
--- a/internal/roster/decode.go
+++ b/internal/roster/decode.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math"
-	"runtime"
 	"slices"
 
 	"valvering.example/valvering/policy"
@@ -201,9 +200,7 @@
 	}
 	i := 0
 	for ; d.json.More(); i++ {
-		if i%yieldEvery == yieldEvery-1 {
-			runtime.Gosched()
-		}
+		pause(i)
 		if err := d.line(i); err != nil {
 			return fmt.Errorf("line %d: %w", i, err)
 		}
--- /dev/null
+++ b/internal/roster/directory_test.go
@@ -0,0 +1,130 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"valvering.example/valvering/policy"
+)
+
+func fleet(n int) *List {
+	l := &List{Rev: 1, All: true}
+	for i := range n {
+		l.Targets = append(l.Targets, Target{UID: fmt.Sprintf("s-%08x", i+1), Endpoint: fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255),
+			Zone: fmt.Sprint("z", i%18), State: "SERVING", Weight: 1})
+	}
+	return l
+}
+
+func ignore(policy.ServerID) {}
+
+// What a change costs is counted in entries looked at: one for each line, whatever the
+// size of the fleet.
+func TestChangeCostsItsLines(t *testing.T) {
+	for _, size := range []int{200, 2000, 56000} {
+		d := NewDirectory()
+		d.Update(fleet(size), true, 0, ignore)
+		for _, lines := range []int{1, 100} {
+			changed := fleet(size).Targets[:lines]
+			for i := range changed {
+				changed[i].State = "DRAINING"
+			}
+			d.looked = 0
+			d.Update(&List{Rev: 2, Targets: changed}, false, 0, ignore)
+			if d.looked != lines {
+				t.Errorf("%d servers, %d lines: %d entries looked at", size, lines, d.looked)
+			}
+		}
+	}
+}
+
+// The changes that Difference finds lead to the same directory as the whole list does, and
+// what is to get nothing new stands before the rest.
+func TestDifferenceLeadsToTheList(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 11))
+	d, reference, all := NewDirectory(), map[string]Target{}, fleet(300).Targets
+	for round := range 60 {
+		next := &List{Rev: int64(round), All: true}
+		for _, line := range all {
+			if rng.IntN(4) == 0 {
+				continue
+			}
+			line.BootMS, line.Weight = float64(rng.IntN(2)), float64(1+rng.IntN(2))
+			if line.State = []string{"SERVING", "DRAINING", Gone}[rng.IntN(3)]; rng.IntN(5) == 0 {
+				line.Endpoint = "10.9.9.9:1"
+			}
+			next.Targets = append(next.Targets, line)
+		}
+		clear(reference)
+		for _, line := range next.Targets {
+			if line.State != Gone {
+				reference[line.UID] = line
+			}
+		}
+		changes := d.Difference(next)
+		for i := 1; i < len(changes); i++ {
+			if changes[i].PolicyState() > changes[i-1].PolicyState() {
+				t.Fatalf("%+v behind %+v", changes[i], changes[i-1])
+			}
+		}
+		for len(changes) > 0 {
+			part := changes[:min(7, len(changes))]
+			d.Update(&List{Rev: int64(round), Targets: part}, false, time.Second, ignore)
+			changes = changes[len(part):]
+		}
+		if d.Len() != len(reference) {
+			t.Fatalf("round %d: %d servers, want %d", round, d.Len(), len(reference))
+		}
+		for uid, line := range reference {
+			e, listed := d.Find(ID(uid))
+			got := Target{e.UID, e.Addr.String(), e.Zone, e.Cell, line.State, e.Weight, e.BootMS}
+			if !listed || !reflect.DeepEqual(got, line) || e.State != line.PolicyState() {
+				t.Fatalf("round %d: %+v, want %+v", round, e, line)
+			}
+		}
+		if len(d.entries) != len(d.index)+len(d.free) || len(d.entries) > 300 {
+			t.Fatalf("%d entries for %d servers, %d free", len(d.entries), len(d.index), len(d.free))
+		}
+	}
+}
+
+// Each end of a process is told of, and another process has another incarnation.
+func TestDirectoryTellsOfEnds(t *testing.T) {
+	one := fleet(1).Targets[0]
+	with := func(change func(*Target)) *List {
+		line := one
+		change(&line)
+		return &List{Targets: []Target{line}}
+	}
+	for name, c := range map[string]struct {
+		next          *List
+		whole, ended  bool
+		listed, moved bool
+	}{
+		"nothing new":   {with(func(*Target) {}), true, false, true, false},
+		"other weight":  {with(func(t *Target) { t.Weight = 3 }), false, false, true, false},
+		"drains":        {with(func(t *Target) { t.State = "DRAINING" }), false, true, true, false},
+		"moved":         {with(func(t *Target) { t.Endpoint = "10.0.0.9:80" }), false, true, true, true},
+		"restarted":     {with(func(t *Target) { t.BootMS = 9 }), false, true, true, true},
+		"gone":          {with(func(t *Target) { t.State = Gone }), false, true, false, false},
+		"missing":       {&List{}, true, true, false, false},
+		"not mentioned": {&List{}, false, false, true, false},
+		"another's end": {&List{Targets: []Target{{UID: "s-0000001x", State: Gone}}}, false, false, true, false},
+	} {
+		d := NewDirectory()
+		d.Update(fleet(1), true, 0, ignore)
+		before, _ := d.Find(1)
+		ended := false
+		d.Update(c.next, c.whole, time.Second, func(id policy.ServerID) { ended = ended || id == 1 })
+		e, listed := d.Find(1)
+		if ended != c.ended || listed != c.listed || listed && (e.Incarnation != before.Incarnation) != c.moved {
+			t.Errorf("%s: ended %v, listed %v, %+v, want %+v", name, ended, listed, e, c)
+		}
+		if e.State == policy.Draining && e.Since != time.Second {
+			t.Errorf("%s: since %v", name, e.Since)
+		}
+	}
+}
