--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -130,8 +130,12 @@
 
 // remember gives the loop a list from before the start.
 func (n *Node) remember(l *roster.List) {
-	if l != nil && len(l.Targets) > 0 {
-		n.loop.events <- members{l, policy.Remembered}
+	if l == nil || len(l.Targets) == 0 {
+		return
+	}
+	most := max(largeList, len(l.Targets)/mostParts+1)
+	for _, part := range inParts(l.Rev, l.Targets, most, policy.Remembered, policy.Remembered) {
+		n.loop.events <- part
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -70,11 +70,6 @@
 	result
 }
 
-type members struct {
-	list *serverList
-	kind policy.MembersKind
-}
-
 // apply puts a generation in force; done is closed once it is.
 type apply struct {
 	gen  *config.Generation
@@ -191,6 +186,8 @@
 		l.decide(ev)
 	case members:
 		l.members(ev)
+	case barrier:
+		close(ev.taken)
 	case apply:
 		l.apply(ev)
 	case policy.Restore:
@@ -347,6 +344,9 @@
 }
 
 func (l *loop) members(m members) {
+	if m.taken != nil {
+		defer close(m.taken)
+	}
 	if m.list == nil {
 		if l.mustAsk {
 			l.decide(policy.Members{Kind: policy.AskFailed})
@@ -360,14 +360,21 @@
 		l.keep.members(m.list, m.kind != policy.Changes)
 	}
 	l.up.update(m.list, m.kind != policy.Changes)
-	ev := policy.Members{Kind: m.kind}
-	for i := range m.list.Targets {
-		ev.Servers = append(ev.Servers, m.list.Targets[i].Server())
+	if len(m.list.Targets) > 0 || m.kind != policy.Changes {
+		l.decide(policy.Members{Kind: m.kind, Servers: servers(m.list.Targets)})
 	}
-	l.decide(ev)
-	if l.onList != nil {
-		l.onList(m.kind)
+	if !m.more && l.onList != nil {
+		l.onList(m.whole)
+	}
+}
+
+// servers turns lines into the module's form.
+func servers(lines []target) []policy.Server {
+	out := make([]policy.Server, 0, len(lines))
+	for i := range lines {
+		out = append(out, lines[i].Server())
 	}
+	return out
 }
 
 // decide hands an event to the module and carries out what it wants done.
--- /dev/null
+++ b/internal/node/members_test.go
@@ -0,0 +1,162 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/policy"
+)
+
+// largeFleet is a list of servers in so many zones.
+func largeFleet(n, zones int) *serverList {
+	l := &serverList{Rev: 1, All: true}
+	for i := range n {
+		line := serving(fmt.Sprintf("s-%08x", i+1), fmt.Sprintf("10.%d.%d.%d:80", i>>16, i>>8&255, i&255))
+		line.Zone = fmt.Sprint("z", i%zones)
+		l.Targets = append(l.Targets, line)
+	}
+	return l
+}
+
+// fed hands a list to a loop that the test runs by hand, with another event posted behind
+// each part, and returns the parts and how often the other event came between them.
+func fed(t *testing.T, l *loop, list *serverList, kind policy.MembersKind) (got []members, between int) {
+	t.Helper()
+	done := make(chan struct{})
+	go func() { l.feed(list, kind); close(done) }()
+	for {
+		select {
+		case ev := <-l.events:
+			switch ev := ev.(type) {
+			case members:
+				got = append(got, ev)
+				l.events <- giveUp(false)
+			case giveUp:
+				between++
+			}
+			l.handle(ev)
+		case <-done:
+			for len(l.events) > 0 {
+				l.handle(<-l.events)
+			}
+			return got, between
+		}
+	}
+}
+
+// A large list or change reaches the loop in parts of bounded size, with room for other
+// events between them, what ends first, and only as much as has changed.
+func TestLargeListsComeInParts(t *testing.T) {
+	n, err := New(testConfig(t, refusing(t)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.end()
+	defer n.listener.Close()
+	const servers, zones = 6000, 18
+	zone := func(change func(*target)) *serverList {
+		l := largeFleet(servers, zones)
+		for i := range l.Targets {
+			if l.Targets[i].Zone == "z3" {
+				change(&l.Targets[i])
+			}
+		}
+		return l
+	}
+	drained := func(t *target) { t.State = "DRAINING" }
+	only := func(l *serverList, zone string) *serverList {
+		l.All = false
+		l.Targets = slices.DeleteFunc(l.Targets, func(t target) bool { return t.Zone != zone })
+		return l
+	}
+	missing := zone(drained)
+	missing.Targets = slices.DeleteFunc(missing.Targets, func(t target) bool { return t.Zone == "z3" })
+	ofZone := servers/zones + 1 // the rest of 6,000 by 18 falls to the first zones
+	for _, c := range []struct {
+		name    string
+		list    *serverList
+		kind    policy.MembersKind
+		lines   int
+		first   policy.MembersKind
+		listed  int
+		running int
+	}{
+		{"the first", largeFleet(servers, zones), policy.Whole, servers, policy.Whole, servers, servers},
+		{"the same again", largeFleet(servers, zones), policy.Whole, 0, policy.Changes, servers, servers},
+		{"a zone drains", zone(drained), policy.Whole, ofZone, policy.Changes, servers, servers - ofZone},
+		{"and is back", largeFleet(servers, zones), policy.Whole, ofZone, policy.Changes, servers, servers},
+		{"and is missing", missing, policy.Whole, ofZone, policy.Changes, servers - ofZone, servers - ofZone},
+		{"back by changes", only(largeFleet(servers, 2), "z1"), policy.Changes, servers / 2, policy.Changes, servers, servers},
+		{"a short list", largeFleet(10, 1), policy.Whole, 0, policy.Changes, 10, 10},
+	} {
+		told := []policy.MembersKind{}
+		n.loop.onList = func(kind policy.MembersKind) { told = append(told, kind) }
+		got, between := fed(t, n.loop, c.list, c.kind)
+		lines := 0
+		for i, part := range got {
+			lines += len(part.list.Targets)
+			if want := policy.Changes; i > 0 && part.kind != want || i == 0 && part.kind != c.first || len(part.list.Targets) > partLines ||
+				part.more != (i < len(got)-1) {
+				t.Errorf("%s: part %d of %d: kind %v, %d lines, more %v", c.name, i, len(got), part.kind, len(part.list.Targets), part.more)
+			}
+		}
+		if c.lines > 0 && lines != c.lines || between < len(got)-1 {
+			t.Errorf("%s: %d lines in %d parts, want %d; %d events between them", c.name, lines, len(got), c.lines, between)
+		}
+		if !slices.Equal(told, []policy.MembersKind{c.kind}) {
+			t.Errorf("%s: completed as %v", c.name, told)
+		}
+		running := 0
+		for id := range policy.ServerID(servers) {
+			if e, listed := n.up.list.Find(id + 1); listed && e.State == policy.Running {
+				running++
+			}
+		}
+		if n.up.list.Len() != c.listed || running != c.running {
+			t.Errorf("%s: %d listed and %d running, want %d and %d", c.name, n.up.list.Len(), running, c.listed, c.running)
+		}
+	}
+}
+
+// What ends comes first, but where a change names a server twice its last line counts.
+func TestOrderWithinALargeChange(t *testing.T) {
+	n, err := New(testConfig(t, refusing(t)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.end()
+	defer n.listener.Close()
+	list := largeFleet(2*largeList, 1)
+	last := &list.Targets[len(list.Targets)-1]
+	last.State = roster.Gone
+	got, _ := fed(t, n.loop, list, policy.Changes)
+	if got[0].list.Targets[0].State != roster.Gone {
+		t.Error("a server that is gone is told of last")
+	}
+	list = largeFleet(2*largeList, 1)
+	list.Twice = roster.ErrTwice
+	list.Targets[len(list.Targets)-1] = target{UID: list.Targets[0].UID, State: roster.Gone}
+	fed(t, n.loop, list, policy.Changes)
+	if _, listed := n.up.list.Find(1); listed {
+		t.Error("of two lines of a server the first counts")
+	}
+}
+
+// Small lists are one event each, as they come.
+func TestSmallListsAreOneEvent(t *testing.T) {
+	n, err := New(testConfig(t, refusing(t)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.end()
+	defer n.listener.Close()
+	for _, kind := range []policy.MembersKind{policy.Whole, policy.Changes, policy.Whole} {
+		list := largeFleet(largeList, 3)
+		got, _ := fed(t, n.loop, list, kind)
+		if len(got) != 1 || got[0].kind != kind || got[0].list != list || got[0].more {
+			t.Errorf("%v: %d events, the first %+v", kind, len(got), got[0].kind)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,9 +106,7 @@
 		n.closePeers()
 		return nil, err
 	}
-	n.disc = newDiscovery(cfg, func(l *serverList, kind policy.MembersKind) {
-		n.loop.post(members{l, kind})
-	})
+	n.disc = newDiscovery(cfg, n.loop.feed)
 	if kept != nil {
 		n.keep = newKeeper(kept.Store, n.status.Load)
 		n.loop.keep = n.keep
