--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
-	"strings"
 	"time"
 
 	"valvering.example/valvering/internal/roster"
@@ -38,50 +36,36 @@
 type keeper struct {
 	writer *snapshot.Writer
 	status func() *Status
-	rev    int64
-	list   map[string]roster.Target
-	whole  *roster.List // list as it was kept last; nil: it has changed since
-	number uint64       // generation that was kept last
+	list   *roster.Directory
+	news   bool   // the list has changed since it was kept last
+	number uint64 // generation that was kept last
 	at     time.Duration
+
+	lines roster.Encoded // the writer's
 }
 
-func newKeeper(s *snapshot.Store, status func() *Status) *keeper {
-	return &keeper{writer: snapshot.NewWriter(s), status: status, list: map[string]roster.Target{}}
+func newKeeper(s *snapshot.Store, list *roster.Directory, status func() *Status) *keeper {
+	return &keeper{writer: snapshot.NewWriter(s), list: list, status: status, news: true}
 }
 
 // capture has the loop hand a state to the writer.
 type capture struct{}
 
-// members follows the list.
-func (k *keeper) members(l *roster.List, whole bool) {
-	if whole {
-		clear(k.list)
-	}
-	k.rev, k.whole = l.Rev, nil
-	for _, t := range l.Targets {
-		if t.State == roster.Gone {
-			delete(k.list, t.UID)
-		} else {
-			k.list[t.UID] = t
-		}
-	}
+// encode is the list's binary form, made in the writer's goroutine.
+func (k *keeper) encode() []byte {
+	k.list.Encode(&k.lines)
+	return k.lines.Bytes
 }
 
 // state is what is to be kept, or nil where nothing has changed for long enough.
 func (k *keeper) state(l *loop, last bool) *snapshot.State {
 	now, st := l.clock.now(), k.status()
-	if !last && k.whole != nil && k.number == st.Current.Number && now-k.at < keepEvery {
+	if !last && !k.news && k.number == st.Current.Number && now-k.at < keepEvery {
 		return nil
 	}
-	if k.whole == nil {
-		k.whole = &roster.List{Rev: k.rev, All: true}
-		for _, t := range k.list {
-			k.whole.Targets = append(k.whole.Targets, t)
-		}
-		slices.SortFunc(k.whole.Targets, func(a, b roster.Target) int { return strings.Compare(a.UID, b.UID) })
-	}
+	k.news = false
 	k.at, k.number = now, st.Current.Number
-	return &snapshot.State{Taken: snapshot.Now(), Clean: last, List: k.whole, Current: st.Current.Kept(),
+	return &snapshot.State{Taken: snapshot.Now(), Clean: last, Lines: k.encode, Current: st.Current.Kept(),
 		Before: st.Before.Kept(), Left: st.Left, Memory: l.gateway.Memory(now, last)}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -356,8 +356,9 @@
 		}
 		return
 	}
-	if l.keep != nil {
-		l.keep.members(m.list, m.kind != policy.Changes)
+	l.up.list.SetPartial(m.more)
+	if l.keep != nil && !m.more {
+		l.keep.news = true
 	}
 	l.up.update(m.list, m.kind != policy.Changes)
 	if len(m.list.Targets) > 0 || m.kind != policy.Changes {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 	}
 	n.disc = newDiscovery(cfg, n.loop.feed)
 	if kept != nil {
-		n.keep = newKeeper(kept.Store, n.status.Load)
+		n.keep = newKeeper(kept.Store, up.list, n.status.Load)
 		n.loop.keep = n.keep
 	}
 	return n, nil
--- /dev/null
+++ b/internal/roster/binary.go
@@ -0,0 +1,172 @@
+package roster
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+
+	"valvering.example/valvering/policy"
+)
+
+// The binary form of a whole list, for snapshots: the revision, then the lines; what
+// varies in length stands behind its length.
+
+const leastBinaryLine = 22 // bytes: empty strings behind their lengths, state, cell and two figures
+
+// errCut is a binary list whose last line is not whole.
+var errCut = errors.New("the list is cut short")
+
+// AppendBinary appends the binary form of a whole list, without lines of servers that
+// are gone.
+func (l *List) AppendBinary(b []byte) ([]byte, error) {
+	b = binary.AppendVarint(b, l.Rev)
+	for i := range l.Targets {
+		t := &l.Targets[i]
+		if t.State == Gone {
+			continue
+		}
+		addr, err := netip.ParseAddrPort(t.Endpoint)
+		if err != nil {
+			return nil, fmt.Errorf("targets[%d]: endpoint: %w", i, err)
+		}
+		e := Entry{UID: t.UID, Zone: t.Zone, Addr: addr, BootMS: t.BootMS, Weight: t.Weight, Cell: t.Cell, State: t.PolicyState()}
+		b = e.appendBinary(b)
+	}
+	return b, nil
+}
+
+func (e *Entry) appendBinary(b []byte) []byte {
+	b = appendText(b, e.UID)
+	b = appendText(b, e.Zone)
+	addr, _ := e.Addr.MarshalBinary() // never fails
+	b = binary.AppendUvarint(b, uint64(len(addr)))
+	b = append(b, addr...)
+	b = binary.AppendVarint(b, int64(e.Cell))
+	b = append(b, byte(e.State))
+	b = binary.BigEndian.AppendUint64(b, math.Float64bits(e.Weight))
+	return binary.BigEndian.AppendUint64(b, math.Float64bits(e.BootMS))
+}
+
+func appendText(b []byte, s string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+}
+
+// Encoded is the binary form of a Directory at one of its updates.
+type Encoded struct {
+	Bytes  []byte // empty: no list was taken over yet
+	update uint64
+}
+
+// Encode brings the binary form up to date, in the memory of the one before. While parts of
+// a list are still to come it stays as it is.
+func (d *Directory) Encode(e *Encoded) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.partial || e.update == d.updates {
+		return
+	}
+	e.update = d.updates
+	e.Bytes = binary.AppendVarint(e.Bytes[:0], d.rev)
+	for i := range d.entries {
+		if s := &d.entries[i]; s.Incarnation > 0 {
+			e.Bytes = s.appendBinary(e.Bytes)
+		}
+	}
+}
+
+// SetPartial says whether parts of a list are still to come.
+func (d *Directory) SetPartial(partial bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.partial = partial
+}
+
+// ParseBinary reads the binary form. The lines come in the order of their uids. It fails
+// where any line can't be used, and takes memory in proportion to the bytes.
+func ParseBinary(b []byte) (*List, error) {
+	r := binaryReader{b: b}
+	l := &List{Rev: r.varint(), All: true, Targets: make([]Target, 0, len(b)/(2*leastBinaryLine))}
+	w := words{}
+	for len(r.b) > 0 && !r.cut {
+		t := Target{UID: string(r.take()), Zone: w.share(string(r.take()))}
+		var addr netip.AddrPort
+		if err := addr.UnmarshalBinary(r.take()); err != nil && !r.cut {
+			return nil, fmt.Errorf("targets[%d]: endpoint: %w", len(l.Targets), err)
+		}
+		t.Endpoint, t.Cell, t.State = addr.String(), int(r.varint()), r.state()
+		t.Weight, t.BootMS = r.figure(), r.figure()
+		if r.cut {
+			break
+		}
+		if err := t.check(); err != nil {
+			return nil, fmt.Errorf("targets[%d]: %w", len(l.Targets), err)
+		}
+		l.Targets = append(l.Targets, t)
+	}
+	if r.cut {
+		return nil, errCut
+	}
+	slices.SortFunc(l.Targets, func(a, b Target) int { return cmp.Compare(a.UID, b.UID) })
+	return l, nil
+}
+
+// binaryReader takes values off; cut is set where one is not whole.
+type binaryReader struct {
+	b   []byte
+	cut bool
+}
+
+func (r *binaryReader) fixed(n uint64) []byte {
+	if r.cut || n > uint64(len(r.b)) {
+		r.cut, r.b = true, nil
+		return nil
+	}
+	out := r.b[:n]
+	r.b = r.b[n:]
+	return out
+}
+
+// take takes bytes behind their length.
+func (r *binaryReader) take() []byte {
+	length, n := binary.Uvarint(r.b)
+	if n <= 0 {
+		r.cut = true
+	}
+	r.fixed(uint64(max(n, 0)))
+	return r.fixed(length)
+}
+
+func (r *binaryReader) varint() int64 {
+	v, n := binary.Varint(r.b)
+	if n <= 0 {
+		r.cut = true
+	}
+	r.fixed(uint64(max(n, 0)))
+	return v
+}
+
+func (r *binaryReader) figure() float64 {
+	b := r.fixed(8)
+	if r.cut {
+		return 0
+	}
+	return math.Float64frombits(binary.BigEndian.Uint64(b))
+}
+
+// state names the state in discovery's words; an unknown one is empty.
+func (r *binaryReader) state() string {
+	b := r.fixed(1)
+	if r.cut {
+		return ""
+	}
+	for name, state := range states {
+		if state == policy.State(b[0]) && state != policy.Removed {
+			return name
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/roster/binary_test.go
@@ -0,0 +1,121 @@
+package roster
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func sampleList() *List {
+	l := fleet(40)
+	l.Rev = 1 << 40
+	l.Targets[1].State = "DRAINING"
+	l.Targets[2].Endpoint = "[2001:db8::1%eth0]:443"
+	l.Targets[3].Cell, l.Targets[3].BootMS = -5, 1.5e12
+	return l
+}
+
+// Both ways to the binary form come to the same, and back to the list.
+func TestBinaryRoundTrip(t *testing.T) {
+	want := sampleList()
+	b, err := want.AppendBinary(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, e := NewDirectory(), Encoded{}
+	if d.Encode(&e); len(e.Bytes) != 0 {
+		t.Errorf("%d bytes before there is a list", len(e.Bytes))
+	}
+	d.Update(want, true, time.Second, ignore)
+	d.Encode(&e)
+	for name, b := range map[string][]byte{"list": b, "directory": e.Bytes} {
+		if got, err := ParseBinary(b); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %v\n got %+v\nwant %+v", name, err, got, want)
+		}
+	}
+	if size := len(b) / len(want.Targets); size > 64 {
+		t.Errorf("%d bytes a line", size)
+	}
+}
+
+// The form is made anew only after an update, and not of half a list.
+func TestEncodeFollowsWholeUpdates(t *testing.T) {
+	d, e := NewDirectory(), Encoded{}
+	revision := func() int64 {
+		d.Encode(&e)
+		l, err := ParseBinary(e.Bytes)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l.Rev
+	}
+	d.Update(&List{Rev: 1}, true, 0, ignore)
+	if revision() != 1 {
+		t.Error("the first update is not in it")
+	}
+	e.Bytes[0] = 0x22 // a mark: revision 17
+	if revision() != 17 {
+		t.Error("made anew though nothing has changed")
+	}
+	d.SetPartial(true)
+	d.Update(&List{Rev: 2}, false, 0, ignore)
+	if revision() != 17 {
+		t.Error("half a list is in it")
+	}
+	d.SetPartial(false)
+	if revision() != 2 {
+		t.Error("the second update is not in it")
+	}
+}
+
+// What is not a whole list of usable lines is refused.
+func TestBinaryRefuses(t *testing.T) {
+	one := &List{Rev: 3, Targets: fleet(1).Targets}
+	b, _ := one.AppendBinary(nil)
+	for n := range b {
+		if l, err := ParseBinary(b[:n]); err == nil && len(l.Targets) > 0 {
+			t.Errorf("cut at %d: %+v", n, l)
+		}
+	}
+	for why, change := range map[string]func(*Entry){
+		"no uid":     func(e *Entry) { e.UID = "" },
+		"no address": func(e *Entry) { e.Addr = Entry{}.Addr },
+		"state":      func(e *Entry) { e.State = 2 },
+	} {
+		d, e := NewDirectory(), Encoded{}
+		d.Update(one, true, 0, ignore)
+		change(&d.entries[0])
+		d.Encode(&e)
+		if _, err := ParseBinary(e.Bytes); err == nil {
+			t.Errorf("%s: passed", why)
+		}
+	}
+	d, e := NewDirectory(), Encoded{}
+	d.Update(one, true, 0, ignore)
+	d.entries[0].Weight = math.NaN()
+	d.Encode(&e)
+	if l, err := ParseBinary(e.Bytes); err != nil || l.Targets[0].Weight != 0 {
+		t.Errorf("%+v, %v: a figure that can't be meant is not told", l, err)
+	}
+}
+
+// Whatever the bytes, they are a list that can be written again, or refused.
+func FuzzParseBinary(f *testing.F) {
+	b, _ := sampleList().AppendBinary(nil)
+	f.Add(b)
+	f.Add(b[:len(b)/2])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		l, err := ParseBinary(b)
+		if err != nil {
+			return
+		}
+		again, err := l.AppendBinary(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if twice, err := ParseBinary(again); err != nil || !reflect.DeepEqual(twice, l) {
+			t.Fatalf("%v\n got %+v\nwant %+v", err, twice, l)
+		}
+	})
+}
--- a/internal/roster/directory.go
+++ b/internal/roster/directory.go
@@ -35,6 +35,7 @@
 	mu           sync.RWMutex
 	rev          int64
 	updates      uint64 // counts the updates
+	partial      bool   // parts of a list are still to come
 	index        map[policy.ServerID]int32
 	entries      []Entry
 	free         []int32 // entries that hold no server
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -84,7 +84,7 @@
 // check tells why a line can't be used, and drops figures that can't be meant.
 func (t *Target) check() error {
 	for _, v := range []*float64{&t.Weight, &t.BootMS} {
-		if *v < 0 || *v > mostFigure {
+		if !(*v >= 0 && *v <= mostFigure) { // NaN is neither
 			*v = 0 // not told
 		}
 	}
--- a/internal/snapshot/codec.go
+++ b/internal/snapshot/codec.go
@@ -35,6 +35,7 @@
 	Taken       Moment
 	Clean       bool // the edge node let in nothing after it was taken
 	List        *roster.List
+	Lines       func() []byte // in place of List: its binary form as it is when the state is written; empty: none
 	Current     Generation
 	Before      Generation // empty: none
 	Left        string     // digest of the configuration that was rolled back from
@@ -54,7 +55,7 @@
 const (
 	magic    = "valvsnap"
 	version  = 1
-	mostFile = 64 << 20 // 10,000 customers, 200 servers and two configurations take under 1 MB
+	mostFile = 64 << 20 // 56,000 servers take 3 MB of list and as much of judgements
 	mostName = 255
 	trailer  = 4 // CRC-32C
 )
@@ -64,12 +65,13 @@
 // Sections of the file. A reader passes over kinds that it does not know.
 const (
 	sectionTaken = iota + 1
-	sectionList
+	sectionList  // as JSON; by earlier programs
 	sectionCurrent
 	sectionBefore
 	sectionLeft
 	sectionServers
 	sectionStores
+	sectionLines // the list in its binary form
 )
 
 // Encode writes a file: magic, version, name, incarnation, sequence, length,
@@ -78,11 +80,11 @@
 	if len(s.Name) > mostName {
 		return nil, fmt.Errorf("a name of %d bytes", len(s.Name))
 	}
-	list, err := json.Marshal(s.List)
+	lines, err := s.lines()
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("list: %w", err)
 	}
-	w := writer{b: append(make([]byte, 0, 1<<16), magic...)}
+	w := writer{b: append(make([]byte, 0, 1<<16+len(lines)+len(s.Current.Raw)+len(s.Before.Raw)), magic...)}
 	w.u16(version)
 	w.text(s.Name)
 	w.u64(s.Incarnation)
@@ -94,7 +96,9 @@
 			w.text(s.Taken.Boot)
 			w.bool(s.Clean)
 		})
-		w.section(sectionList, func() { w.b = append(w.b, list...) })
+		if len(lines) > 0 {
+			w.section(sectionLines, func() { w.b = append(w.b, lines...) })
+		}
 		w.section(sectionCurrent, func() { w.generation(&s.Current) })
 		if s.Before.Number > 0 {
 			w.section(sectionBefore, func() { w.generation(&s.Before) })
@@ -116,6 +120,17 @@
 	return binary.BigEndian.AppendUint32(w.b, crc32.Checksum(w.b, castagnoli)), nil
 }
 
+// lines is the list in its binary form.
+func (s *State) lines() ([]byte, error) {
+	switch {
+	case s.Lines != nil:
+		return s.Lines(), nil
+	case s.List != nil:
+		return s.List.AppendBinary(nil)
+	}
+	return nil, nil
+}
+
 // writer appends fields.
 type writer struct{ b []byte }
 
@@ -215,6 +230,10 @@
 			return false
 		}
 		return true
+	case sectionLines:
+		var err error
+		s.List, err = roster.ParseBinary(r.b)
+		return err == nil
 	case sectionCurrent:
 		s.Current = r.generation()
 	case sectionBefore:
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"hash/crc32"
@@ -17,8 +19,6 @@
 	"testing"
 	"time"
 
-	"encoding/binary"
-
 	"valvering.example/valvering/internal/roster"
 	"valvering.example/valvering/policy"
 )
@@ -566,3 +566,33 @@
 		}
 	}
 }
+
+// The list as JSON, as earlier programs wrote it, is still read; and one that is handed over
+// in its binary form comes back as it was.
+func TestBothFormsOfTheList(t *testing.T) {
+	want := sample().List
+	raw, err := json.Marshal(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := writer{b: []byte(magic)}
+	w.u16(version)
+	w.text("n3")
+	w.u64(1)
+	w.u64(2)
+	w.sized(func() { w.section(sectionList, func() { w.b = append(w.b, raw...) }) })
+	lines, err := want.AppendBinary(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	handed := &State{Name: "n3", Lines: func() []byte { return lines }}
+	for name, b := range map[string][]byte{"JSON": sealed(append(w.b, 0, 0, 0, 0)), "binary": encoded(t, handed)} {
+		if s, err := Decode(b, "n3"); err != nil || !reflect.DeepEqual(s.List, want) {
+			t.Errorf("%s: %+v, %v", name, s, err)
+		}
+	}
+	none := &State{Name: "n3", List: want, Lines: func() []byte { return nil }}
+	if s, err := Decode(encoded(t, none), "n3"); err != nil || s.List != nil {
+		t.Errorf("%+v, %v: a list though none was held", s, err)
+	}
+}
