--- a/policy/left_client_test.go
+++ b/policy/left_client_test.go
@@ -21,7 +21,7 @@
 		{"gone before both", "open", []byte{waits, granted}, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			w := newCrowd(t, 100, fleet(10))
+			w := newCluster(t, 100, fleet(10))
 			seat := w.gs[0].account(keyOf("k"), w.gs[0].plans[c.plan], 0, 50)
 			roots, deputy := w.gs[0].roots(seat)
 			i := 0
