--- /dev/null
+++ b/cmd/valvering/garbage_test.go
@@ -0,0 +1,20 @@
+package main
+
+import "testing"
+
+// A small heap may grow fivefold, a large one by a bounded amount, and by half at the least.
+func TestGCPercentFor(t *testing.T) {
+	for live, want := range map[uint64]int{0: 400, 3 << 20: 400, 6 << 20: 400, 12 << 20: 200, 24 << 20: 100, 30 << 20: 80, 1 << 40: 50} {
+		if got := gcPercentFor(live); got != want {
+			t.Errorf("%d bytes live: %d, want %d", live, got, want)
+		}
+	}
+	for _, c := range []struct {
+		percent, next int
+		want          bool
+	}{{400, 400, false}, {400, 380, false}, {400, 200, true}, {80, 75, false}, {80, 60, true}, {390, 400, true}} {
+		if got := worthSetting(c.percent, c.next); got != c.want {
+			t.Errorf("from %d to %d: %v", c.percent, c.next, got)
+		}
+	}
+}
--- a/cmd/valvering/main.go
+++ b/cmd/valvering/main.go
@@ -31,7 +31,6 @@
 	exitServe  = 1
 
 	memoryPart = 0.7 // of the memory limit, from where on garbage is collected harder
-	gcPercent  = 400 // the heap is small: memory is spent to save CPU
 )
 
 const usage = `usage: valvering             serve, with the configuration file that GW_CONFIG names
@@ -153,7 +152,9 @@
 		return exitConfig
 	}
 	cfg := history.Current().File
-	debug.SetGCPercent(gcPercent)
+	collecting, endCollecting := context.WithCancel(context.Background())
+	defer endCollecting()
+	go paceGC(collecting)
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * float64(cfg.MemoryMB) * (1 << 20)))
 	}
