--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -230,7 +230,8 @@
 // A list that can't be used is no reason not to start: discovery brings another.
 func TestKnownListIsNoSetting(t *testing.T) {
 	for known, want := range map[string]int{`null`: 0, `{"rev":3,"targets":[]}`: 0, `7`: 1,
-		`{"targets":[{"uid":"s-1","state":"ASLEEP"}]}`: 1, `{"targets":[{"uid":"s-1","state":"DELETED"},{}]}`: 1} {
+		`{"targets":[{"uid":"s-1","state":"DELETED"},{"uid":"s-1","state":"DELETED"}]}`: 1,
+		`{"targets":[{"uid":"s-1","state":"ASLEEP"}]}`:                                  1, `{"targets":[{"uid":"s-1","state":"DELETED"},{}]}`: 1} {
 		f, err := parse(strings.Replace(testFile, `"limits"`, `"known":`+known+`,"limits"`, 1))
 		if err != nil || len(f.Warnings) != want {
 			t.Errorf("%s: %v, %v", known, err, f)
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -278,6 +278,9 @@
 	case err != nil:
 		c.Warnings = append(c.Warnings, "known list passed over: "+err.Error())
 		return
+	case l != nil && l.Twice != nil: // it contradicts itself
+		c.Warnings = append(c.Warnings, "known list passed over: "+l.Twice.Error())
+		return
 	case l != nil && l.Bad > 0:
 		c.Warnings = append(c.Warnings, fmt.Sprintf("known list: %d lines passed over, the first: %v", l.Bad, l.BadWhy))
 	}
--- a/internal/roster/binary.go
+++ b/internal/roster/binary.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"net/netip"
+	"runtime"
 	"slices"
 
 	"valvering.example/valvering/policy"
@@ -42,15 +43,27 @@
 func (e *Entry) appendBinary(b []byte) []byte {
 	b = appendText(b, e.UID)
 	b = appendText(b, e.Zone)
-	addr, _ := e.Addr.MarshalBinary() // never fails
-	b = binary.AppendUvarint(b, uint64(len(addr)))
-	b = append(b, addr...)
+	b = appendAddr(b, e.Addr)
 	b = binary.AppendVarint(b, int64(e.Cell))
 	b = append(b, byte(e.State))
 	b = binary.BigEndian.AppendUint64(b, math.Float64bits(e.Weight))
 	return binary.BigEndian.AppendUint64(b, math.Float64bits(e.BootMS))
 }
 
+// appendAddr appends an address behind its length, which takes one byte but for very long
+// names of interfaces.
+func appendAddr(b []byte, addr netip.AddrPort) []byte {
+	const oneByte = 1 << 7
+	length := len(b)
+	b, _ = addr.AppendBinary(append(b, 0)) // never fails
+	if n := len(b) - length - 1; n < oneByte {
+		b[length] = byte(n)
+		return b
+	}
+	long, _ := addr.MarshalBinary()
+	return append(binary.AppendUvarint(b[:length], uint64(len(long))), long...)
+}
+
 func appendText(b []byte, s string) []byte {
 	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
 }
@@ -59,23 +72,49 @@
 type Encoded struct {
 	Bytes  []byte // empty: no list was taken over yet
 	update uint64
+	spare  []byte // for the next
 }
 
-// Encode brings the binary form up to date, in the memory of the one before. While parts of
-// a list are still to come it stays as it is.
+const (
+	encodeStep  = 1024 // entries after which others may have the directory
+	encodeTries = 4    // and how often the encoding begins anew where it has changed then
+)
+
+// Encode brings the binary form up to date, in memory that it keeps. While parts of a list
+// are still to come it stays as it is.
 func (d *Directory) Encode(e *Encoded) {
+	for try := 1; !d.encode(e, try < encodeTries); try++ {
+	}
+}
+
+// encode is false where the directory was changed while others had it.
+func (d *Directory) encode(e *Encoded, share bool) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	if d.partial || e.update == d.updates {
-		return
+	update := d.updates
+	if d.partial || e.update == update {
+		return true
 	}
-	e.update = d.updates
-	e.Bytes = binary.AppendVarint(e.Bytes[:0], d.rev)
+	b := binary.AppendVarint(e.spare[:0], d.rev)
 	for i := range d.entries {
+		if share && i%encodeStep == encodeStep-1 && d.yield(update) {
+			return d.partial
+		}
 		if s := &d.entries[i]; s.Incarnation > 0 {
-			e.Bytes = s.appendBinary(e.Bytes)
+			b = s.appendBinary(b)
 		}
 	}
+	e.update, e.Bytes, e.spare = update, b, e.Bytes
+	return true
+}
+
+// yield lets others have the directory, which the caller holds for reading, and tells
+// whether it was changed.
+func (d *Directory) yield(update uint64) (changed bool) {
+	d.mu.RUnlock()
+	runtime.Gosched()
+	d.mu.RLock()
+	return d.updates != update
 }
 
 // SetPartial says whether parts of a list are still to come.
--- a/internal/roster/directory_test.go
+++ b/internal/roster/directory_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -128,3 +129,42 @@
 		}
 	}
 }
+
+// BenchmarkDirectory tells how long the directory of a large fleet is held for what.
+func BenchmarkDirectory(b *testing.B) {
+	const size, part = 56000, 256
+	d, e := NewDirectory(), Encoded{}
+	d.Update(fleet(size), true, 0, ignore)
+	lines := [2]*List{{Targets: fleet(part).Targets}, {Targets: fleet(part).Targets}}
+	for i := range part {
+		lines[1].Targets[i].State = "DRAINING"
+	}
+	turn := 0
+	update := func(n int) {
+		turn++
+		d.Update(&List{Targets: lines[turn%2].Targets[:n]}, false, 0, ignore)
+	}
+	b.Run("line", func(b *testing.B) {
+		for b.Loop() {
+			update(1)
+		}
+	})
+	b.Run("part", func(b *testing.B) {
+		for b.Loop() {
+			update(part)
+		}
+	})
+	b.Run("encode", func(b *testing.B) {
+		for b.Loop() {
+			update(1)
+			d.Encode(&e)
+		}
+		b.ReportMetric(float64(len(e.Bytes))/size, "bytes/server")
+	})
+	same := fleet(size).Targets
+	b.Run("difference", func(b *testing.B) {
+		for b.Loop() {
+			d.Difference(&List{Targets: slices.Clone(same)})
+		}
+	})
+}
