--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -47,6 +47,7 @@
 	slack   time.Duration // and is held to be broken so much later
 	answer  time.Duration // all other calls are answered by then, or another is made beside them
 	patient time.Duration // and given up so long after they were made
+	calls   int           // most of them beside one another
 	backoff time.Duration // the longest pause behind a call that failed
 	jitter  float64       // part of a pause and of some patience that is drawn at random: edge nodes must not call in step
 }
@@ -55,7 +56,7 @@
 // and overrun by many calls. What a silent watch misses counts as told 6 s after it fell
 // silent; it is found out after 4 s, and the call that follows does not wait.
 var asked = pacing{wait: 3 * time.Second, slack: time.Second, answer: 2 * time.Second, patient: 2 * time.Second,
-	backoff: 400 * time.Millisecond, jitter: 0.5}
+	calls: 1, backoff: 400 * time.Millisecond, jitter: 0.5}
 
 // shorten takes a random part off a time.
 func (p pacing) shorten(rng *rand.Rand, d time.Duration) time.Duration {
@@ -73,9 +74,13 @@
 	part := func(p float64, least time.Duration) time.Duration {
 		return max(least, time.Duration(p*float64(f.DrainGrace)))
 	}
-	answer := min(asked.answer, part(answerPart, leastAnswer))
+	answer, calls := min(asked.answer, part(answerPart, leastAnswer)), mostCalls
+	if n, _ := usable(f); n > 0 {
+		calls = callsFor(n)
+	}
 	return pacing{wait: min(asked.wait, part(waitPart, leastWait)), slack: min(asked.slack, part(slackPart, leastWait)),
-		answer: answer, patient: min(asked.patient, mostCalls*answer), backoff: min(asked.backoff, part(backoffPart, leastBackoff))}
+		answer: answer, patient: min(asked.patient, time.Duration(calls)*answer), calls: calls,
+		backoff: min(asked.backoff, part(backoffPart, leastBackoff))}
 }
 
 // discovery follows the list of app servers.
@@ -236,7 +241,7 @@
 		case <-again.C:
 			coming := steps.Load() > seen
 			seen = steps.Load()
-			if !coming && out < mostCalls && ctx.Err() == nil {
+			if !coming && out < pace.calls && ctx.Err() == nil {
 				call()
 			}
 		}
