--- a/internal/node/overbooked_test.go
+++ b/internal/node/overbooked_test.go
@@ -139,29 +139,53 @@
 	}
 }
 
-// overbookedDay plays edge nodes that ask an overbooked service for the list: an outage, a
-// change at its return, one while they open their watches anew, and one at any moment later.
-// It returns how long after each change the last edge node heard of it.
-func overbookedDay(t *testing.T, s *overbooked, nodes int, outage time.Duration, seed uint64) (late []time.Duration) {
+// askedFleet is edge nodes that ask an overbooked service for the list.
+type askedFleet struct {
+	service *overbooked
+	list    []*hearing
+	rng     *rand.Rand
+	cancel  context.CancelFunc
+	all     sync.WaitGroup
+	server  *http.Server
+}
+
+// newFleetOfAsked starts edge nodes together, within 0.1 s.
+func newFleetOfAsked(t *testing.T, s *overbooked, nodes int, seed uint64) *askedFleet {
 	network := newPipes()
-	srv := &http.Server{Handler: s}
-	go func() { _ = srv.Serve(network) }()
-	ctx, end := context.WithCancel(t.Context())
-	var all sync.WaitGroup
-	rng := rand.New(rand.NewPCG(seed, 6))
-	var list []*hearing
+	f := &askedFleet{service: s, rng: rand.New(rand.NewPCG(seed, 6)), server: &http.Server{Handler: s}}
+	go func() { _ = f.server.Serve(network) }()
+	var ctx context.Context
+	ctx, f.cancel = context.WithCancel(t.Context())
 	for range nodes {
-		f := &config.File{Discovery: "service", Seed: rng.Uint64(), DrainGrace: 2 * time.Second, Settings: policy.Settings{MustAsk: true}}
+		file := &config.File{Discovery: "service", Seed: f.rng.Uint64(), DrainGrace: 2 * time.Second, Settings: policy.Settings{MustAsk: true}}
 		h := &hearing{}
-		list = append(list, h)
-		d := newDiscovery(f, h.heard)
+		f.list = append(f.list, h)
+		d := newDiscovery(file, h.heard)
 		d.http.Transport.(*http.Transport).DialContext = network.DialContext
-		begin := time.Duration(rng.Int64N(int64(100 * time.Millisecond))) // all are started together
-		all.Go(func() {
+		begin := time.Duration(f.rng.Int64N(int64(100 * time.Millisecond)))
+		f.all.Go(func() {
 			time.Sleep(begin)
 			d.run(ctx)
 		})
 	}
+	return f
+}
+
+// end ends the edge nodes and the service.
+func (f *askedFleet) end() {
+	f.cancel()
+	f.all.Wait()
+	_ = f.server.Close()
+	for f.service.working() {
+		time.Sleep(time.Second)
+	}
+}
+
+// overbookedDay plays edge nodes that ask an overbooked service for the list: an outage, a
+// change at its return, one while they open their watches anew, and one at any moment later.
+// It returns how long after each change the last edge node heard of it.
+func overbookedDay(t *testing.T, s *overbooked, nodes int, outage time.Duration, seed uint64) (late []time.Duration) {
+	f := newFleetOfAsked(t, s, nodes, seed)
 	time.Sleep(10 * time.Second)
 	s.set(func() { s.silent = true })
 	time.Sleep(outage)
@@ -173,12 +197,12 @@
 	change()
 	time.Sleep(150 * time.Millisecond)
 	change()
-	time.Sleep(toldWithin + time.Duration(rng.Int64N(int64(4*time.Second))))
+	time.Sleep(toldWithin + time.Duration(f.rng.Int64N(int64(4*time.Second))))
 	change()
 	time.Sleep(2 * toldWithin)
 	for i, began := range changed {
 		worst := time.Duration(0)
-		for _, h := range list {
+		for _, h := range f.list {
 			h.mu.Lock()
 			took := 2 * toldWithin // not heard at all
 			if rev := i + 2; rev < len(h.at) {
@@ -189,12 +213,7 @@
 		}
 		late = append(late, worst.Round(time.Millisecond))
 	}
-	end()
-	all.Wait()
-	_ = srv.Close()
-	for s.working() {
-		time.Sleep(time.Second)
-	}
+	f.end()
 	return late
 }
 
@@ -243,3 +262,30 @@
 		})
 	}
 }
+
+// Edge nodes that are restarted together and know no list have one within readyWithin, nine
+// in ten of them, from a service that works on few calls at once.
+func TestRestartedTogetherHaveAList(t *testing.T) {
+	const nodes, readyWithin = 60, 10 * time.Second
+	for _, beyond := range []excess{refuses, queues, drops} {
+		for seed := range uint64(6) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &overbooked{beyond: beyond, workers: 3, work: 50 * time.Millisecond, rev: 1, turn: make(chan struct{})}
+				f := newFleetOfAsked(t, s, nodes, seed)
+				time.Sleep(readyWithin)
+				have := 0
+				for _, h := range f.list {
+					h.mu.Lock()
+					if len(h.at) > 0 {
+						have++
+					}
+					h.mu.Unlock()
+				}
+				f.end()
+				if have*10 < nodes*9 {
+					t.Errorf("%s, seed %d: %d of %d edge nodes have a list after %v", beyond, seed, have, nodes, readyWithin)
+				}
+			})
+		}
+	}
+}
