--- a/cmd/valverlab/main.go
+++ b/cmd/valverlab/main.go
@@ -43,6 +43,7 @@
 	Demo    demoCmd    `cmd:"" help:"Start a small fleet of real edge nodes on loopback under load, show it, and report."`
 	Run     runCmd     `cmd:"" help:"Play an experiment."`
 	Sim     simCmd     `cmd:"" help:"Play one fleet in simulated time."`
+	Scale   scaleCmd   `cmd:"" help:"Measure real and hollow edge nodes that are told the size of a large fleet."`
 	Compare compareCmd `cmd:"" help:"Compare the results of two folders, paired by seed."`
 	Report  reportCmd  `cmd:"" help:"Write a folder's report anew, and print its table."`
 	Explain explainCmd `cmd:"" help:"Tell a request's whole way, or what was lost by cause."`
--- /dev/null
+++ b/internal/lab/scale/clients.go
@@ -0,0 +1,121 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"valvering.example/valvering/internal/lab/world"
+)
+
+// clients ask real edge nodes over HTTP.
+type clients struct {
+	fleet  *fleet
+	http   *http.Client
+	nextID atomic.Uint64
+	open   sync.WaitGroup
+}
+
+const (
+	connections = 512              // kept to one edge node
+	lostAfter   = 2 * time.Second  // behind its deadline a request without an answer is lost
+	mostAnswer  = 64 << 10         // bytes
+	drainFor    = 10 * time.Second // for requests that are open at the end of the load
+)
+
+func newClients(f *fleet) *clients {
+	return &clients{fleet: f, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true}}}
+}
+
+// ask has clients ask an edge node, open-loop, until ctx ends.
+func (c *clients) ask(ctx context.Context, p *process) {
+	w, rng := c.fleet.world, rand.New(rand.NewPCG(c.fleet.Seed, uint64(p.no)+1))
+	c.fleet.openLoop(ctx, p.no, func(at time.Duration) {
+		class := w.ClassOf(rng)
+		tenant := c.fleet.tenants.at(p.no, rng)
+		units := 1 + rng.IntN(max(1, w.Load.Units))
+		c.fleet.realLoad.asked(unixNow() - at)
+		c.open.Go(func() { c.request(p, at, &w.Classes[class], tenant, units) })
+	})
+}
+
+// request makes one request; its time counts from when it was meant to be made.
+func (c *clients) request(p *process, at time.Duration, class *world.Class, tenant *world.Person, units int) {
+	id := fmt.Sprintf("%016x", c.fleet.Seed<<40^c.nextID.Add(1)*0x9e3779b97f4a7c15)
+	ctx, end := context.WithTimeout(context.Background(), class.Deadline.D()+lostAfter)
+	defer end()
+	how := c.do(ctx, p, id, class, tenant, units)
+	took := unixNow() - at
+	server, known := c.fleet.lender.took(id)
+	if how == endServed && !known {
+		how = endLost // no lending server made this answer
+	}
+	c.fleet.realLoad.end(how, took-server)
+}
+
+func (c *clients) do(ctx context.Context, p *process, id string, class *world.Class, tenant *world.Person, units int) ending {
+	req, err := c.build(ctx, p, id, class, tenant, units)
+	if err != nil {
+		return endFailed
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return endLost
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
+	switch {
+	case err != nil:
+		return endLost
+	case resp.StatusCode == http.StatusOK && string(body) == loanOf(id):
+		return endServed
+	case resp.StatusCode == http.StatusOK:
+		return endLost
+	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
+		return endRefused
+	}
+	return endFailed
+}
+
+// build words a request.
+func (c *clients) build(ctx context.Context, p *process, id string, class *world.Class, tenant *world.Person, units int) (*http.Request, error) {
+	method, body := http.MethodPost, fmt.Sprintf(`{"book":%d}`, units)
+	if class.Effect == "repeatable" {
+		method, body = http.MethodGet, ""
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.at.String()+"/"+class.Name, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Host = "app.svc"
+	for name, value := range map[string]string{
+		"X-Request-Id": id, "X-Class": class.Name, "X-Tier": c.fleet.world.Plans[tenant.Plan].Name, "Cookie": "key=" + tenant.Key,
+		"X-Deadline-Ms": fmt.Sprint(class.Deadline.D().Milliseconds()),
+		"X-Call-Terms":  fmt.Sprintf("units=%d,spread=%d,first=%d", units, tenant.Spread, tenant.First),
+	} {
+		req.Header.Set(name, value)
+	}
+	if class.Effect == "by_key" {
+		req.Header.Set("Idempotency-Key", id+id)
+	}
+	return req, nil
+}
+
+// drain waits for the requests that are open, but not for ever.
+func (c *clients) drain() {
+	done := make(chan struct{})
+	go func() {
+		c.open.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(drainFor):
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/discovery_test.go
@@ -0,0 +1,139 @@
+package scale
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"valvering.example/valvering/internal/roster"
+	"valvering.example/valvering/policy"
+)
+
+// The stand-in serves the whole list and what changed, and a watch tells what its edge
+// node has taken.
+func TestDiscovery(t *testing.T) {
+	c := &Config{Servers: 100}
+	d := newDiscovery(drawList(c, nil), newTakes())
+	defer d.close()
+	const no = 7
+	addr, err := d.listen(no)
+	if err != nil {
+		t.Fatal(err)
+	}
+	get := func(query string) *decodedList {
+		t.Helper()
+		resp, err := http.Get("http://" + addr + "/v1/servers" + query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := decodeList(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	if l := get(""); !l.all || l.rev != firstRev || len(l.servers) != c.Servers {
+		t.Errorf("whole: %d lines, version %d", len(l.servers), l.rev)
+	}
+	if l := get("?since=1&timeout_ms=0"); l.all || len(l.servers) != 0 || l.rev != firstRev {
+		t.Errorf("nothing changed: %d lines, version %d", len(l.servers), l.rev)
+	}
+	answered := make(chan *decodedList, 1)
+	go func() {
+		resp, err := http.Get("http://" + addr + "/v1/servers?since=1&timeout_ms=60000")
+		if err != nil {
+			answered <- nil
+			return
+		}
+		defer resp.Body.Close()
+		body, _ := io.ReadAll(resp.Body)
+		l, _ := decodeList(body)
+		answered <- l
+	}()
+	rev := d.change([]int{3, 4}, removed)
+	if l := <-answered; l == nil || l.all || l.rev != rev || len(l.servers) != 2 || l.servers[0].State != policy.Removed {
+		t.Errorf("a watch: %+v", l)
+	}
+	if took := d.takes.of(rev); len(took) != 0 {
+		t.Errorf("taken before a watch from it: %v", took)
+	}
+	get("?since=2&timeout_ms=0")
+	if took := d.takes.of(rev); len(took) != 1 || took[no] <= 0 {
+		t.Errorf("taken: %v", took)
+	}
+	if l := get(""); len(l.servers) != c.Servers-2 {
+		t.Errorf("whole without those removed: %d lines", len(l.servers))
+	}
+	if rev = d.change([]int{3}, restarted); rev != 3 {
+		t.Errorf("version %d", rev)
+	}
+	if l := get("?since=1&timeout_ms=0"); len(l.servers) != 2 || !l.servers[0].HasStart && !l.servers[1].HasStart {
+		t.Errorf("both changes: %+v", l.servers)
+	}
+}
+
+// An edge node that has taken a version has taken all before, and the first time counts.
+func TestTakes(t *testing.T) {
+	takes, now := newTakes(), time.Now()
+	takes.begin(2, now)
+	takes.begin(3, now.Add(time.Second))
+	takes.note(1, 1, now.Add(2*time.Second))
+	if len(takes.of(2)) != 0 {
+		t.Error("an older version is no take")
+	}
+	takes.note(1, 3, now.Add(3*time.Second))
+	takes.note(1, 3, now.Add(9*time.Second))
+	if takes.of(2)[1] != 3*time.Second || takes.of(3)[1] != 2*time.Second {
+		t.Errorf("%v, %v", takes.of(2), takes.of(3))
+	}
+}
+
+// A list with a line that can't be used is an error here: the stand-in makes none.
+func TestDecodeList(t *testing.T) {
+	if _, err := decodeList([]byte(`{"rev":1,"all":true,"targets":[{"uid":"s-00000001","endpoint":"127.0.0.1:1","az":"a","state":"SERVING"},{"uid":""}]}`)); !errors.Is(err, errBadLines) {
+		t.Error(err)
+	}
+	if _, err := decodeList([]byte("nothing")); err == nil {
+		t.Error("no list was read")
+	}
+}
+
+// Equal answers are decoded once.
+func TestDecoderSharesLists(t *testing.T) {
+	var d decoder
+	body := []byte(`{"rev":1,"all":true,"targets":[{"uid":"s-00000001","endpoint":"127.0.0.1:1","az":"a","state":"SERVING"}]}`)
+	first, err := d.take(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, err := d.take(append([]byte(nil), body...)); err != nil || again != first {
+		t.Errorf("decoded twice: %v", err)
+	}
+	if cost := d.cost(); cost.Bytes != len(body) {
+		t.Errorf("%+v", cost)
+	}
+	d.drop()
+	if again, err := d.take(body); err != nil || again == first {
+		t.Errorf("held after drop: %v", err)
+	}
+}
+
+// All servers have distinct names and lie in all zones.
+func TestDrawList(t *testing.T) {
+	l := drawList(&Config{Servers: 56_000}, []string{"127.0.0.1:1"})
+	ids, perZone := map[policy.ServerID]bool{}, map[string]int{}
+	for i := range l.lines {
+		ids[roster.ID(l.lines[i].UID)] = true
+		perZone[l.lines[i].Zone]++
+	}
+	if len(ids) != 56_000 || len(perZone) != zones || perZone["zone-a"] < 3100 {
+		t.Errorf("%d servers, %d zones, %d in the first", len(ids), len(perZone), perZone["zone-a"])
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/lending.go
@@ -0,0 +1,96 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"valvering.example/valvering/internal/lab/world"
+)
+
+// endpointCount is how many addresses all lines of the list share.
+const endpointCount = 4
+
+// latencyModel draws how long a lending server takes for a request: log-normal, by class.
+type latencyModel struct{ world *world.World }
+
+func (m latencyModel) draw(class int, rng *rand.Rand) time.Duration {
+	sigma := m.world.Server.Spread
+	mean := m.world.Classes[class].Work.D()
+	return time.Duration(float64(mean) * math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2))
+}
+
+// lender stands in for all lending servers of the real edge nodes.
+type lender struct {
+	model   latencyModel
+	servers []*http.Server
+	addrs   []string
+	mu      sync.Mutex
+	rng     *rand.Rand
+	held    map[string]time.Duration // by request: how long the server took
+}
+
+func newLender(w *world.World, seed uint64) (*lender, error) {
+	l := &lender{model: latencyModel{w}, rng: world.Stream(seed, world.StreamWork), held: map[string]time.Duration{}}
+	for range endpointCount {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return l, fmt.Errorf("lending server: %w", err)
+		}
+		srv := &http.Server{Handler: l}
+		l.servers, l.addrs = append(l.servers, srv), append(l.addrs, ln.Addr().String())
+		go func() { _ = srv.Serve(ln) }() // ends with close
+	}
+	return l, nil
+}
+
+// ServeHTTP answers a request after a drawn time.
+func (l *lender) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	id := r.Header.Get("X-Request-Id")
+	class := l.classOf(strings.TrimPrefix(r.URL.Path, "/"))
+	if id == "" || class < 0 {
+		http.NotFound(w, r)
+		return
+	}
+	l.mu.Lock()
+	latency := l.model.draw(class, l.rng)
+	l.mu.Unlock()
+	time.Sleep(latency)
+	l.mu.Lock()
+	l.held[id] = time.Since(began)
+	l.mu.Unlock()
+	_, _ = w.Write([]byte(loanOf(id))) // the edge node may have given up
+}
+
+func (l *lender) classOf(name string) int {
+	for i := range l.model.world.Classes {
+		if l.model.world.Classes[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// took is how long the server took for a request; it is forgotten.
+func (l *lender) took(id string) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, known := l.held[id]
+	delete(l.held, id)
+	return d, known
+}
+
+func (l *lender) close() {
+	for _, srv := range l.servers {
+		srv.Close()
+	}
+}
+
+// loanOf is the answer made for a request.
+func loanOf(id string) string { return `{"loan":"` + id + `"}` }
--- /dev/null
+++ b/internal/lab/scale/result.go
@@ -0,0 +1,454 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+)
+
+// Result is what a run measured. Figures that were not reached are 0; Phases names the
+// phases that were played whole.
+type Result struct {
+	Nodes       int      `json:"nodes"`
+	Servers     int      `json:"servers"`
+	Tenants     int      `json:"tenants"`
+	Rate        float64  `json:"rate"`
+	ForS        float64  `json:"for_s"`
+	Seed        uint64   `json:"seed"`
+	CPUs        int      `json:"cpus"`
+	LoadAverage string   `json:"load_average"` // of the machine at the end: 1, 5 and 15 minutes
+	TookS       float64  `json:"took_s"`
+	Phases      []Phase  `json:"phases"`
+	Interrupted bool     `json:"interrupted"`
+	Unsound     string   `json:"unsound,omitempty"`
+	Scaled      []string `json:"scaled"` // what stands for more than there is
+
+	TenantsHere    int        `json:"tenants_here"`     // those whose sets lie among the existing edge nodes
+	TenantsPerNode float64    `json:"tenants_per_node"` // mean, of those that ask at one
+	Real           Group      `json:"real"`
+	Hollow         Group      `json:"hollow"`
+	Changes        []Change   `json:"changes"`
+	Sink           Flow       `json:"sink"` // datagrams a second to edge nodes that don't exist, from all
+	Decode         DecodeCost `json:"decode"`
+	NeedMB         float64    `json:"need_mb"` // reckoned before the run
+	MachineMB      float64    `json:"machine_mb"`
+	LongDatagrams  int64      `json:"long_datagrams"` // over the 256 bytes allowed
+	CallErrors     int64      `json:"discovery_errors"`
+	Windows        []Window   `json:"windows"`
+}
+
+// Group is one sort of edge node. Figures are means of one edge node unless told otherwise.
+type Group struct {
+	Count     int       `json:"count"`
+	Ready     Ready     `json:"ready"`
+	CPU       CPU       `json:"cpu"`
+	Memory    Memory    `json:"memory"`
+	Requests  Requests  `json:"requests"`
+	Added     Added     `json:"added"`
+	ZoneAdded Added     `json:"zone_added"` // while a zone's servers left and came back
+	Datagrams Datagrams `json:"datagrams"`
+}
+
+// Ready is the time from an edge node's start until it is ready.
+type Ready struct {
+	Count int     `json:"count"`
+	P50S  float64 `json:"p50_s"`
+	P90S  float64 `json:"p90_s"`
+	MostS float64 `json:"most_s"`
+}
+
+// CPU is processor time: of a real edge node's process, or of the module in a hollow one.
+type CPU struct {
+	RestPercent  float64     `json:"rest_percent"` // of a core
+	LoadPercent  float64     `json:"load_percent"`
+	RequestUS    float64     `json:"request_us"` // above rest, with all that a request brings about
+	DatagramUS   float64     `json:"datagram_us"`
+	LineChangeMS float64     `json:"line_change_ms"` // above rest
+	ZoneLostMS   float64     `json:"zone_lost_ms"`   // above load
+	ZoneBackMS   float64     `json:"zone_back_ms"`
+	Causes       []CauseCost `json:"causes,omitempty"` // of hollow ones, under load
+}
+
+// CauseCost is the processor time of the module for one cause.
+type CauseCost struct {
+	Cause  string  `json:"cause"`
+	Count  int64   `json:"count"`
+	MeanUS float64 `json:"mean_us"`
+}
+
+// Memory is what an edge node holds, in MB: medians and the most of real ones, means of hollow ones.
+type Memory struct {
+	ResidentMB     float64 `json:"resident_mb"`
+	ResidentMostMB float64 `json:"resident_most_mb"`
+	HeapMB         float64 `json:"heap_mb"`
+}
+
+// Requests are those of the load, of all edge nodes of a sort.
+type Requests struct {
+	Asked       int `json:"asked"`
+	Late        int `json:"late"`         // made over 50 ms after their time
+	HandledLate int `json:"handled_late"` // waited over 50 ms for a hollow edge node's loop
+	Served      int `json:"served"`
+	Refused     int `json:"refused"`
+	Failed      int `json:"failed"`
+	Lost        int `json:"lost"`
+}
+
+// Added is the time that requests took over what the server took, in milliseconds.
+type Added struct {
+	Count  int64   `json:"count"`
+	P50MS  float64 `json:"p50_ms"`
+	P99MS  float64 `json:"p99_ms"`
+	P999MS float64 `json:"p999_ms"`
+	MostMS float64 `json:"most_ms"`
+}
+
+// Flow is datagrams and their bytes, a second.
+type Flow struct {
+	Datagrams float64 `json:"datagrams"`
+	Bytes     float64 `json:"bytes"`
+}
+
+// Bounds of datagrams taken in, a second.
+const (
+	BoundDatagrams = 100
+	BoundBytes     = 12 << 10
+)
+
+// Datagrams are those of one edge node during the load, a second.
+type Datagrams struct {
+	In           Flow       `json:"in"`
+	Out          Flow       `json:"out"`
+	InPeak       int        `json:"in_peak"`       // most that one took in during a second
+	InScaled     Flow       `json:"in_scaled"`     // reckoned for the whole fleet
+	BoundPart    float64    `json:"bound_part"`    // of 100 datagrams a second, scaled
+	BytesPart    float64    `json:"bytes_part"`    // of 12 KB a second, scaled
+	DroppedFull  int64      `json:"dropped_full"`  // by hollow ones whose loop was behind
+	PerRequestIn float64    `json:"in_a_request"`  // of one edge node's requests
+	PerRequest   float64    `json:"out_a_request"` //
+	Kinds        []KindFlow `json:"kinds"`
+}
+
+// KindFlow is one kind of datagram.
+type KindFlow struct {
+	Kind string `json:"kind"`
+	In   Flow   `json:"in"`
+	Out  Flow   `json:"out"`
+}
+
+// Change is a change of discovery's list and how long edge nodes took to take it.
+type Change struct {
+	What   string    `json:"what"`
+	Lines  int       `json:"lines"`
+	Count  int       `json:"count"` // changes of this sort
+	Real   TakenTime `json:"real"`
+	Hollow TakenTime `json:"hollow"`
+}
+
+// TakenTime is the time from a change to those who have taken it.
+type TakenTime struct {
+	Taken  int     `json:"taken"` // over all changes of the sort
+	Of     int     `json:"of"`
+	P50MS  float64 `json:"p50_ms"`
+	MostMS float64 `json:"most_ms"`
+}
+
+// DecodeCost is the processor time to decode the largest answer of discovery.
+type DecodeCost struct {
+	Bytes int     `json:"bytes"`
+	MS    float64 `json:"ms"`
+}
+
+// Window is one second.
+type Window struct {
+	Second float64  `json:"second"`
+	Phase  Phase    `json:"phase"`
+	Real   WindowOf `json:"real"`
+	Hollow WindowOf `json:"hollow"`
+}
+
+// WindowOf is one second of one sort of edge node.
+type WindowOf struct {
+	Requests   int     `json:"requests"`
+	CPUPercent float64 `json:"cpu_percent"`
+	P50MS      float64 `json:"p50_ms"`
+	P99MS      float64 `json:"p99_ms"`
+}
+
+// result puts together what was measured.
+func (f *fleet) result() *Result {
+	m := &f.measured
+	r := &Result{Nodes: f.Nodes, Servers: f.Servers, Tenants: f.Tenants, Rate: f.Rate, ForS: f.For.Seconds(), Seed: f.Seed, CPUs: runtime.NumCPU(),
+		LoadAverage: loadAverage(), TookS: time.Since(m.begun).Seconds(), Phases: m.phases, Interrupted: m.interrupted, TenantsHere: len(f.tenants.people),
+		Decode: f.decoder.cost(), LongDatagrams: f.network.long.Load(), CallErrors: f.discoveryErrors.Load(), Windows: m.windows}
+	r.NeedMB = (f.need.lab + f.need.real*float64(f.Real) + f.need.hollow*float64(f.Hollow)) / megabyte
+	if machine, err := machineMemory(); err == nil {
+		r.MachineMB = machine / megabyte
+	}
+	for no := range f.existing() {
+		r.TenantsPerNode += float64(f.tenants.count(no)) / float64(f.existing())
+	}
+	r.Scaled = f.scaled()
+	f.realGroup(&r.Real)
+	f.hollowGroup(&r.Hollow)
+	for sort, g := range []*Group{sortReal: &r.Real, sortHollow: &r.Hollow} {
+		f.fillLoad(g, sort)
+		f.fillDatagrams(g, sort)
+	}
+	if t := m.traffic; t != nil && t.length > 0 {
+		r.Sink = Flow{float64(t.sunk.datagrams) / t.length.Seconds(), float64(t.sunk.bytes) / t.length.Seconds()}
+	}
+	r.Changes = f.changes()
+	r.Unsound = f.unsound(r)
+	return r
+}
+
+// scaled says what stands for more than there is.
+func (f *fleet) scaled() []string {
+	return []string{
+		fmt.Sprintf("%d of %d edge nodes exist; datagrams to the others end in sinks", f.existing(), f.Nodes),
+		fmt.Sprintf("%d of %d tenants: those whose sets lie among the edge nodes that exist; quotas are scaled to the demand", len(f.tenants.people), f.Tenants),
+		"in_scaled: sights taken in as many as sent, verdicts those of all edge nodes, other kinds as measured",
+		"hollow edge nodes share the decoding of a list; its cost is told once",
+		"every server serves every attempt, also one that has left the list",
+	}
+}
+
+// above is what a span took above another's pace, per edge node.
+func above(s, base *span, sum func(*span) time.Duration, nodes int) time.Duration {
+	if s == nil || nodes == 0 {
+		return 0
+	}
+	total := sum(s)
+	if base != nil && base.length > 0 {
+		total -= time.Duration(float64(sum(base)) * s.length.Seconds() / base.length.Seconds())
+	}
+	return total / time.Duration(nodes)
+}
+
+func share(s *span, sum func(*span) time.Duration, nodes int) float64 {
+	if s == nil || nodes == 0 || s.length <= 0 {
+		return 0
+	}
+	return 100 * sum(s).Seconds() / s.length.Seconds() / float64(nodes)
+}
+
+// fillCPU gives the figures that both sorts have.
+func (f *fleet) fillCPU(g *Group, sum func(*span) time.Duration, sort int) {
+	m, n := &f.measured, g.Count
+	g.CPU.RestPercent, g.CPU.LoadPercent = share(m.rest, sum, n), share(m.load, sum, n)
+	if asked := m.loadCounts[sort].asked; asked > 0 && n > 0 {
+		g.CPU.RequestUS = microseconds(above(m.load, m.rest, sum, n)) * float64(n) / float64(asked)
+	}
+	if len(m.lineRevs) > 0 {
+		g.CPU.LineChangeMS = milliseconds(above(m.lines, m.rest, sum, n)) / float64(len(m.lineRevs))
+	}
+	if m.lost != nil {
+		g.CPU.ZoneLostMS = milliseconds(above(m.lost.span, m.load, sum, n))
+	}
+	if m.back != nil {
+		g.CPU.ZoneBackMS = milliseconds(above(m.back.span, m.load, sum, n))
+	}
+}
+
+func (f *fleet) realGroup(g *Group) {
+	m := &f.measured
+	g.Count = f.Real
+	f.fillCPU(g, (*span).realTime, sortReal)
+	if m.flood != nil && m.flooded > 0 {
+		g.CPU.DatagramUS = microseconds(above(m.flood, m.rest, (*span).realTime, f.Real)) / float64(m.flooded)
+	}
+	var ready []time.Duration
+	for _, p := range f.reals {
+		ready = append(ready, p.readiness())
+	}
+	g.Ready = readyOf(ready)
+	if len(m.resident) > 0 {
+		column := func(i int) (list []float64) {
+			for _, row := range m.resident {
+				list = append(list, row[i])
+			}
+			slices.Sort(list)
+			return list
+		}
+		g.Memory = Memory{median(column(0)), slices.Max(column(1)), median(column(2))}
+	}
+}
+
+func (f *fleet) hollowGroup(g *Group) {
+	m := &f.measured
+	g.Count = f.Hollow
+	f.fillCPU(g, (*span).hollowTime, sortHollow)
+	if m.load != nil {
+		sum := m.load.byCause()
+		for c := range sum.count {
+			if n := sum.count[c]; n > 0 {
+				g.CPU.Causes = append(g.CPU.Causes, CauseCost{causeNames[c], n, microseconds(sum.time[c]) / float64(n)})
+			}
+		}
+		if n := sum.count[causeDatagram]; n > 0 {
+			g.CPU.DatagramUS = microseconds(sum.time[causeDatagram]) / float64(n)
+		}
+	}
+	var ready []time.Duration
+	for _, h := range f.hollows {
+		_, at, dropped := h.reading()
+		ready = append(ready, at)
+		g.Datagrams.DroppedFull += dropped
+	}
+	g.Ready = readyOf(ready)
+	if f.Hollow > 0 {
+		g.Memory.HeapMB = max(0, m.heap[1]-m.heap[0]) / megabyte / float64(f.Hollow)
+	}
+}
+
+func readyOf(times []time.Duration) (r Ready) {
+	var list []float64
+	for _, t := range times {
+		if t > 0 {
+			list = append(list, t.Seconds())
+		}
+	}
+	if r.Count = len(list); r.Count == 0 {
+		return r
+	}
+	slices.Sort(list)
+	r.P50S, r.P90S, r.MostS = median(list), stat.Quantile(0.9, stat.Empirical, list, nil), list[len(list)-1]
+	return r
+}
+
+// median is that of a sorted list that is not empty.
+func median(sorted []float64) float64 { return stat.Quantile(0.5, stat.Empirical, sorted, nil) }
+
+func (f *fleet) fillLoad(g *Group, sort int) {
+	c := &f.measured.loadCounts[sort]
+	g.Requests = Requests{Asked: c.asked, Late: c.late, HandledLate: c.handledLate, Served: c.ends[endServed], Refused: c.ends[endRefused],
+		Failed: c.ends[endFailed], Lost: c.ends[endLost]}
+	g.Added = addedOf(c)
+	g.ZoneAdded = addedOf(&f.measured.zoneCounts[sort])
+}
+
+func addedOf(c *loadCount) Added {
+	if c.added == nil {
+		return Added{}
+	}
+	return Added{c.added.TotalCount(), c.addedMS(50), c.addedMS(99), c.addedMS(99.9), float64(c.added.Max()) / 1000}
+}
+
+func (f *fleet) fillDatagrams(g *Group, sort int) {
+	t := f.measured.traffic
+	if t == nil || g.Count == 0 || t.length <= 0 {
+		return
+	}
+	d := &g.Datagrams
+	per := func(v int64) float64 { return float64(v) / t.length.Seconds() / float64(g.Count) }
+	for k, name := range kindNames {
+		in, out := t.flows[sort][directionIn][k], t.flows[sort][directionOut][k]
+		if in.datagrams+out.datagrams == 0 {
+			continue
+		}
+		row := KindFlow{name, Flow{per(in.datagrams), per(in.bytes)}, Flow{per(out.datagrams), per(out.bytes)}}
+		d.Kinds = append(d.Kinds, row)
+		d.In, d.Out, d.InScaled = d.In.plus(row.In, 1), d.Out.plus(row.Out, 1), d.InScaled.plus(f.scaledIn(name, row), 1)
+	}
+	d.InPeak = t.peak[sort]
+	d.BoundPart, d.BytesPart = d.InScaled.Datagrams/BoundDatagrams, d.InScaled.Bytes/BoundBytes
+	if rate := float64(g.Requests.Asked) / t.length.Seconds() / float64(g.Count); rate > 0 {
+		d.PerRequestIn, d.PerRequest = d.In.Datagrams/rate, d.Out.Datagrams/rate
+	}
+}
+
+// scaledIn is what an edge node would take in of a kind in the whole fleet: sights come
+// from all that use the servers it watches, verdicts from all watchers.
+func (f *fleet) scaledIn(name string, row KindFlow) Flow {
+	switch {
+	case strings.Contains(name, "sight"):
+		return row.Out
+	case strings.Contains(name, "verdict"):
+		return Flow{}.plus(row.Out, float64(f.Nodes-1))
+	}
+	return row.In
+}
+
+func (v Flow) plus(other Flow, times float64) Flow {
+	return Flow{v.Datagrams + times*other.Datagrams, v.Bytes + times*other.Bytes}
+}
+
+func (f *fleet) changes() (list []Change) {
+	m := &f.measured
+	if len(m.lineRevs) > 0 {
+		list = append(list, f.changeOf("one line", 1, m.lineRevs))
+	}
+	for _, z := range []struct {
+		what string
+		zone *zoneChange
+	}{{"a zone's lines leave", m.lost}, {"a zone's lines come back", m.back}} {
+		if z.zone != nil {
+			list = append(list, f.changeOf(z.what, z.zone.lines, []int64{z.zone.rev}))
+		}
+	}
+	return list
+}
+
+func (f *fleet) changeOf(what string, lines int, revs []int64) Change {
+	c := Change{What: what, Lines: lines, Count: len(revs)}
+	var times [sorts][]float64
+	for _, rev := range revs {
+		for no, d := range f.takes.of(rev) {
+			sort := sortHollow
+			if f.isReal(no) {
+				sort = sortReal
+			}
+			times[sort] = append(times[sort], milliseconds(d))
+		}
+	}
+	c.Real, c.Hollow = takenOf(times[sortReal], f.Real*len(revs)), takenOf(times[sortHollow], f.Hollow*len(revs))
+	return c
+}
+
+func takenOf(times []float64, of int) TakenTime {
+	t := TakenTime{Taken: len(times), Of: of}
+	if len(times) > 0 {
+		slices.Sort(times)
+		t.P50MS, t.MostMS = median(times), times[len(times)-1]
+	}
+	return t
+}
+
+// unsound says why a run proves nothing; empty: its load was kept.
+func (f *fleet) unsound(r *Result) string {
+	if f.measured.load == nil {
+		return "it was ended before its load was played"
+	}
+	if n := r.Real.Ready.Count + r.Hollow.Ready.Count; n < f.existing() {
+		return fmt.Sprintf("%d of %d edge nodes were ready within %v", n, f.existing(), readyWithin)
+	}
+	for _, s := range []struct {
+		name string
+		late int
+		of   int
+	}{
+		{"requests to real edge nodes were made", r.Real.Requests.Late, r.Real.Requests.Asked},
+		{"requests to hollow edge nodes were made", r.Hollow.Requests.Late, r.Hollow.Requests.Asked},
+		{"requests at hollow edge nodes were handled", r.Hollow.Requests.HandledLate, r.Hollow.Requests.Asked},
+	} {
+		if part := float64(s.late) / max(1, float64(s.of)); part > mostLate {
+			return fmt.Sprintf("%.1f%% of the %s over %v late", 100*part, s.name, lateBy)
+		}
+	}
+	return ""
+}
+
+func loadAverage() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return ""
+	}
+	words := strings.Fields(string(text))
+	return strings.Join(words[:min(3, len(words))], " ")
+}
--- /dev/null
+++ b/internal/lab/scale/scale.go
@@ -0,0 +1,173 @@
+// Package scale measures edge nodes that are told the size of a large fleet while only
+// a part of it exists on this machine. Real ones are processes of the edge node's
+// program; hollow ones share the lab's process and run the decisions of package policy,
+// their peers' datagrams over UDP sockets and discovery's list over HTTP, but have no
+// client or server sockets: their requests are drawn and end by a model of a server.
+// Datagrams to edge nodes that don't exist go to sink sockets and are counted. All
+// sockets lie on loopback. Times are durations or carry their unit in their name, rates
+// are per second, memory is in MB of 1<<20 bytes.
+package scale
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"valvering.example/valvering/internal/lab/world"
+)
+
+// Bounds of a configuration.
+const (
+	mostNodes     = 1 << 15 // as many as an edge node's configuration may name
+	mostServers   = 90_000  // their list still fits into an edge node's configuration file
+	mostTenants   = 10_000_000
+	mostRate      = 10_000
+	mostProcesses = 50 // the lab's own included
+	leastFor      = time.Second
+	mostFor       = time.Hour
+)
+
+// zones of the planned fleet.
+const zones = 18
+
+// Config says what is measured.
+type Config struct {
+	Nodes   int           // edge nodes that all are told of
+	Servers int           // lending servers on discovery's list
+	Tenants int           // of the whole fleet
+	Rate    float64       // requests a second that each edge node gets
+	Real    int           // processes of the edge node's program
+	Hollow  int           // edge nodes inside this process
+	For     time.Duration // of the load
+	Seed    uint64        // all chance comes from it
+	Program string        // path of the edge node's program
+	Step    func(phase string)
+}
+
+// Problem is one thing wrong with a configuration: which field, and what.
+type Problem struct{ Field, What string }
+
+func (p Problem) Error() string { return p.Field + ": " + p.What }
+
+// Check returns the first thing wrong with the configuration, or nil. Fields bear the
+// names of the command's flags.
+func (c *Config) Check() error {
+	whole := func(field string, v, least, most int) error {
+		if v < least || v > most {
+			return Problem{field, fmt.Sprintf("%d is not from %d to %d", v, least, most)}
+		}
+		return nil
+	}
+	for _, err := range []error{
+		whole("nodes", c.Nodes, 1, mostNodes),
+		whole("servers", c.Servers, 1, mostServers),
+		whole("tenants", c.Tenants, 1, mostTenants),
+		whole("real", c.Real, 0, mostNodes),
+		whole("hollow", c.Hollow, 0, mostNodes),
+	} {
+		if err != nil {
+			return err
+		}
+	}
+	switch {
+	case !(c.Rate > 0 && c.Rate <= mostRate):
+		return Problem{"rate", fmt.Sprintf("%g is not above 0 and up to %d", c.Rate, mostRate)}
+	case c.For < leastFor || c.For > mostFor:
+		return Problem{"for", fmt.Sprintf("%v is not from %v to %v", c.For, leastFor, mostFor)}
+	case c.Real+1 > mostProcesses:
+		return Problem{"real", fmt.Sprintf("%d edge nodes and the lab are %d processes, %d at most", c.Real, c.Real+1, mostProcesses)}
+	case c.Real+c.Hollow < 1:
+		return Problem{"hollow", "there is no edge node, real or hollow"}
+	case c.Real+c.Hollow > c.Nodes:
+		return Problem{"hollow", fmt.Sprintf("%d real and %d hollow edge nodes are more than the %d of --nodes", c.Real, c.Hollow, c.Nodes)}
+	}
+	return c.checkDescriptors()
+}
+
+// existing is how many edge nodes there are; they have the numbers from 0.
+func (c *Config) existing() int { return c.Real + c.Hollow }
+
+// firstReal is the number of the first real edge node. They lie in the middle of the
+// numbers that exist, so that the sets of their tenants lie on both sides.
+func (c *Config) firstReal() int { return c.Hollow / 2 }
+
+func (c *Config) isReal(no int) bool { return no >= c.firstReal() && no < c.firstReal()+c.Real }
+
+// Times of a run.
+const (
+	readyWithin = 60 * time.Second
+	settleFor   = 500 * time.Millisecond
+	mostRest    = 10 * time.Second
+	leastRest   = time.Second
+	listWait    = 10 * time.Second // for all edge nodes to take a change
+	lineChanges = 8                // changes of one line
+	lineEvery   = 250 * time.Millisecond
+	floodFor    = 2 * time.Second
+	floodRate   = 1000.0
+	gcPercent   = 50
+)
+
+func (c *Config) restFor() time.Duration { return max(leastRest, min(mostRest, c.For/2)) }
+
+// Play measures. Where ctx ends before it is through, the result holds what was measured
+// until then. The error is a Problem for a configuration that can't be played.
+func Play(ctx context.Context, c Config) (*Result, error) {
+	if err := c.Check(); err != nil {
+		return nil, err
+	}
+	defer debug.SetGCPercent(debug.SetGCPercent(gcPercent))
+	f, err := newFleet(c)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	if err := f.open(); err != nil {
+		return nil, err
+	}
+	if err := f.play(ctx); err != nil {
+		return nil, err
+	}
+	return f.result(), nil
+}
+
+// newFleet describes the fleet and checks that it fits into the machine's memory.
+func newFleet(c Config) (*fleet, error) {
+	f := &fleet{Config: c, world: describe(&c), list: drawList(&c, nil)}
+	need, err := f.memoryNeed()
+	if err != nil {
+		return nil, err
+	}
+	if err := need.check(&c); err != nil {
+		return nil, err
+	}
+	f.need = need
+	f.dir, err = os.MkdirTemp("", "valverlab-scale-")
+	return f, err
+}
+
+// describe gives the platform as all edge nodes are told it: classes, rules and network
+// are the lab's own; the quotas of the plans are scaled so that the tenants' demand is
+// about their quota.
+func describe(c *Config) *world.World {
+	w := world.Default(c.Nodes, c.Servers)
+	w.Zones = min(zones, max(1, c.Nodes))
+	w.Load.Customers = c.Tenants
+	w.Load.Spread = min(8, max(2, c.Nodes/2))
+	w.Load.Rate = c.Rate * float64(c.Nodes)
+	demand, parts := 0.0, 0.0
+	for _, p := range w.Plans {
+		demand, parts = demand+p.Part*w.Demand(p), parts+p.Part
+	}
+	scale := w.Load.Rate / float64(c.Tenants) / (demand / parts)
+	for i := range w.Plans {
+		p := &w.Plans[i]
+		p.Rate *= scale
+		p.Store = max(float64(2*w.Load.Units), p.Store*scale)
+		if p.Parallel > 0 {
+			p.Parallel = max(1, int(float64(p.Parallel)*scale+0.5))
+		}
+	}
+	return w
+}
--- /dev/null
+++ b/internal/lab/scale/scale_test.go
@@ -0,0 +1,192 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+// small is a run without processes that takes a few seconds.
+func small() Config {
+	return Config{Nodes: 600, Servers: 540, Tenants: 30_000, Rate: 40, Hollow: 6, For: time.Second, Seed: 1}
+}
+
+// A run through all phases. Figures are checked by count; how fast the machine is
+// decides nothing.
+func TestPlaySmall(t *testing.T) {
+	c := small()
+	r, err := Play(t.Context(), c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(r.Phases) != 6 || r.Interrupted || r.Hollow.Count != c.Hollow || r.Hollow.Ready.Count != c.Hollow || r.Real.Count != 0 {
+		t.Errorf("phases %v, interrupted %v, hollow %+v", r.Phases, r.Interrupted, r.Hollow.Ready)
+	}
+	q := r.Hollow.Requests
+	if q.Asked == 0 || q.Served+q.Refused+q.Failed+q.Lost > q.Asked || r.Hollow.Added.Count != int64(q.Served) {
+		t.Errorf("requests %+v, added %+v", q, r.Hollow.Added)
+	}
+	if r.TenantsHere != c.Tenants*c.Hollow/c.Nodes || r.LongDatagrams != 0 || r.Sink.Datagrams == 0 || r.Hollow.Memory.HeapMB <= 0 {
+		t.Errorf("tenants %d, long %d, sink %+v, memory %+v", r.TenantsHere, r.LongDatagrams, r.Sink, r.Hollow.Memory)
+	}
+	kinds := map[string]bool{}
+	for _, k := range r.Hollow.Datagrams.Kinds {
+		kinds[k.Kind] = true
+	}
+	if !kinds["ask"] || !kinds["answer"] || !kinds["sight"] {
+		t.Errorf("kinds of datagram: %v", kinds)
+	}
+	wantLines := map[string]int{"one line": 1, "a zone's lines leave": c.Servers / zones, "a zone's lines come back": c.Servers / zones}
+	for _, change := range r.Changes {
+		if change.Lines != wantLines[change.What] || change.Hollow.Of != c.Hollow*change.Count || change.Hollow.Taken > change.Hollow.Of || change.Hollow.Taken == 0 {
+			t.Errorf("%+v", change)
+		}
+		delete(wantLines, change.What)
+	}
+	if len(wantLines) > 0 {
+		t.Errorf("not there: %v", wantLines)
+	}
+	var page bytes.Buffer
+	if err := WritePage(&page, r, []string{"a <command>"}); err != nil || bytes.Count(page.Bytes(), []byte("<svg")) != 4 ||
+		bytes.Contains(page.Bytes(), []byte("src=")) || bytes.Contains(page.Bytes(), []byte("a <command>")) {
+		t.Errorf("%v, a page of %d bytes", err, page.Len())
+	}
+	if _, err := json.Marshal(r); err != nil {
+		t.Error(err)
+	}
+}
+
+// A run that is ended gives what was measured until then.
+func TestPlayEnded(t *testing.T) {
+	for _, test := range []struct {
+		at      Phase
+		played  int
+		unsound bool
+	}{{PhaseStart, 0, true}, {PhaseLoad, 3, false}, {PhaseZone, 4, false}} {
+		ctx, end := context.WithCancel(t.Context())
+		c := small()
+		c.Step = func(phase string) {
+			if Phase(phase) == test.at {
+				end()
+			}
+		}
+		r, err := Play(ctx, c)
+		end()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !r.Interrupted || len(r.Phases) != test.played || test.unsound && r.Unsound == "" {
+			t.Errorf("ended at %s: %v, %q", test.at, r.Phases, r.Unsound)
+		}
+		if got := r.Hollow.Requests.Asked > 0; got != (test.played > 3) {
+			t.Errorf("ended at %s: %d requests", test.at, r.Hollow.Requests.Asked)
+		}
+	}
+}
+
+// What can't be played is refused with the flag's name.
+func TestCheck(t *testing.T) {
+	for _, test := range []struct {
+		field string
+		edit  func(*Config)
+	}{
+		{"nodes", func(c *Config) { c.Nodes = 0 }},
+		{"nodes", func(c *Config) { c.Nodes = mostNodes + 1 }},
+		{"servers", func(c *Config) { c.Servers = 0 }},
+		{"servers", func(c *Config) { c.Servers = mostServers + 1 }},
+		{"tenants", func(c *Config) { c.Tenants = -1 }},
+		{"rate", func(c *Config) { c.Rate = 0 }},
+		{"for", func(c *Config) { c.For = time.Millisecond }},
+		{"real", func(c *Config) { c.Real = -1 }},
+		{"real", func(c *Config) { c.Real = mostProcesses }},
+		{"hollow", func(c *Config) { c.Hollow = -1 }},
+		{"hollow", func(c *Config) { c.Hollow = 0 }},
+		{"hollow", func(c *Config) { c.Hollow = c.Nodes + 1 }},
+	} {
+		c := small()
+		test.edit(&c)
+		var problem Problem
+		if err := c.Check(); !errors.As(err, &problem) || problem.Field != test.field || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%+v: %v, want a problem of %s", c, err, test.field)
+		}
+	}
+	c := small()
+	if err := c.Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A run that needs over half of the machine's memory is refused, with the count that fits.
+func TestMemoryIsBounded(t *testing.T) {
+	machine, err := machineMemory()
+	if err != nil {
+		t.Fatal(err)
+	}
+	need := memoryNeed{lab: machine / 100, real: machine / 100, hollow: machine / 10}
+	var problem Problem
+	if err := need.check(&Config{Real: 1, Hollow: 5}); !errors.As(err, &problem) || problem.Field != "hollow" || !strings.Contains(problem.What, ": 4 hollow ones fit beside 1 real ones") {
+		t.Error(err)
+	}
+	if err := need.check(&Config{Real: 60}); !errors.As(err, &problem) || problem.Field != "real" {
+		t.Error(err)
+	}
+	if err := need.check(&Config{Real: 1, Hollow: 4}); err != nil {
+		t.Error(err)
+	}
+}
+
+// A load that came or was handled late, and edge nodes that were not ready, make a run
+// unsound.
+func TestUnsound(t *testing.T) {
+	f := &fleet{Config: Config{Real: 1, Hollow: 1}}
+	sound := func() *Result {
+		r := &Result{}
+		r.Real.Ready.Count, r.Hollow.Ready.Count = 1, 1
+		r.Real.Requests.Asked, r.Hollow.Requests.Asked = 1000, 1000
+		r.Real.Requests.Late, r.Hollow.Requests.Late, r.Hollow.Requests.HandledLate = 10, 10, 10
+		return r
+	}
+	if f.unsound(sound()) == "" {
+		t.Error("sound without a load")
+	}
+	f.measured.load = &span{}
+	if why := f.unsound(sound()); why != "" {
+		t.Error(why)
+	}
+	for i, edit := range []func(*Result){
+		func(r *Result) { r.Real.Requests.Late++ },
+		func(r *Result) { r.Hollow.Requests.Late++ },
+		func(r *Result) { r.Hollow.Requests.HandledLate++ },
+		func(r *Result) { r.Hollow.Ready.Count = 0 },
+	} {
+		r := sound()
+		edit(r)
+		if f.unsound(r) == "" {
+			t.Errorf("edit %d is not seen", i)
+		}
+	}
+}
+
+// All tenants' sets lie among the edge nodes that exist, and each of these has some.
+func TestTenantsLieAmongExisting(t *testing.T) {
+	for _, hollow := range []int{1, 2, 7, 200} {
+		c := small()
+		c.Hollow = hollow
+		w := describe(&c)
+		drawn := drawTenants(&c, w)
+		for _, p := range drawn.people {
+			if p.First < 0 || p.Spread < 1 || p.First+p.Spread > hollow {
+				t.Fatalf("%d exist: a set of %d from %d", hollow, p.Spread, p.First)
+			}
+		}
+		for no := range hollow {
+			if drawn.count(no) == 0 {
+				t.Errorf("%d exist: nobody asks at %d", hollow, no)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/tenants.go
@@ -0,0 +1,67 @@
+package scale
+
+import (
+	"math/rand/v2"
+	"sort"
+
+	"valvering.example/valvering/internal/lab/world"
+)
+
+// tenants are those whose sets of edge nodes lie among the ones that exist.
+type tenants struct {
+	people []world.Person
+	byNode []draw // by number of the edge node
+}
+
+// draw picks one of some tenants by their demand.
+type draw struct {
+	people []int
+	sums   []float64 // of their demand
+}
+
+// drawTenants draws the share of all tenants that the existing edge nodes have of the
+// planned ones.
+func drawTenants(c *Config, w *world.World) *tenants {
+	here := *w
+	here.Nodes, here.Servers = c.existing(), 1
+	here.Load.Customers = max(1, c.Tenants*c.existing()/c.Nodes)
+	here.Load.Uneven = 0
+	drawn := here.Draw(c.Seed)
+	t := &tenants{people: drawn.People, byNode: make([]draw, c.existing())}
+	for i := range t.people {
+		p := &t.people[i]
+		p.Spread = min(p.Spread, c.existing())
+		p.First %= c.existing() - p.Spread + 1
+		t.add(i, drawn.Share([]int{i}))
+	}
+	for no := range t.byNode {
+		if len(t.byNode[no].people) == 0 { // too few tenants for each edge node to have one
+			t.people = append(t.people, world.Person{Key: "00000000000000ff", First: no, Spread: 1})
+			t.add(len(t.people)-1, 1)
+		}
+	}
+	return t
+}
+
+// add enters a tenant at the edge nodes of its set.
+func (t *tenants) add(i int, demand float64) {
+	p := &t.people[i]
+	for no := p.First; no < p.First+p.Spread; no++ {
+		d := &t.byNode[no]
+		sum := demand / float64(p.Spread)
+		if len(d.sums) > 0 {
+			sum += d.sums[len(d.sums)-1]
+		}
+		d.people, d.sums = append(d.people, i), append(d.sums, sum)
+	}
+}
+
+// at draws a tenant that asks at an edge node.
+func (t *tenants) at(no int, rng *rand.Rand) *world.Person {
+	d := &t.byNode[no]
+	i := sort.SearchFloat64s(d.sums, rng.Float64()*d.sums[len(d.sums)-1])
+	return &t.people[d.people[min(i, len(d.people)-1)]]
+}
+
+// count is how many tenants ask at an edge node.
+func (t *tenants) count(no int) int { return len(t.byNode[no].people) }
