--- a/internal/lab/scale/list.go
+++ b/internal/lab/scale/list.go
@@ -26,10 +26,14 @@
 	if len(endpoints) == 0 {
 		endpoints = []string{"127.0.0.1:9"}
 	}
-	l := &serverList{}
+	l, rng, drawn := &serverList{}, world.Stream(c.Seed, world.StreamWorld), make(map[uint32]bool, c.Servers)
 	for i := range c.Servers {
-		zone := i % zones
-		l.lines = append(l.lines, roster.Target{UID: fmt.Sprintf("s-%08x", uint32(i+1)*2654435761), Endpoint: endpoints[i%len(endpoints)],
+		zone, name := i%zones, rng.Uint32()
+		for drawn[name] {
+			name = rng.Uint32()
+		}
+		drawn[name] = true
+		l.lines = append(l.lines, roster.Target{UID: fmt.Sprintf("s-%08x", name), Endpoint: endpoints[i%len(endpoints)],
 			Zone: world.ZoneName(zone), Cell: zone*100_000 + i/zones/serversPerCell, State: stateServing, Weight: 1})
 	}
 	return l
--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -68,7 +68,7 @@
 	LoadPercent  float64     `json:"load_percent"`
 	RequestUS    float64     `json:"request_us"` // above rest, with all that a request brings about
 	DatagramUS   float64     `json:"datagram_us"`
-	LineChangeMS float64     `json:"line_change_ms"` // above rest
+	LineChangeMS float64     `json:"line_change_ms"` // above rest; 0 where no change was taken
 	ZoneLostMS   float64     `json:"zone_lost_ms"`   // above load
 	ZoneBackMS   float64     `json:"zone_back_ms"`
 	Causes       []CauseCost `json:"causes,omitempty"` // of hollow ones, under load
@@ -213,7 +213,7 @@
 	return []string{
 		fmt.Sprintf("%d of %d edge nodes exist; datagrams to the others end in sinks", f.existing(), f.Nodes),
 		fmt.Sprintf("%d of %d tenants: those whose sets lie among the edge nodes that exist; quotas are scaled to the demand", len(f.tenants.people), f.Tenants),
-		"in_scaled: sights taken in as many as sent, verdicts those of all edge nodes, other kinds as measured",
+		"in_scaled: sights and verdicts taken in grow by the part of the edge nodes that exists, other kinds are as measured",
 		"hollow edge nodes share the decoding of a list; its cost is told once",
 		"every server serves every attempt, also one that has left the list",
 	}
@@ -245,17 +245,28 @@
 	if asked := m.loadCounts[sort].asked; asked > 0 && n > 0 {
 		g.CPU.RequestUS = microseconds(above(m.load, m.rest, sum, n)) * float64(n) / float64(asked)
 	}
-	if len(m.lineRevs) > 0 {
+	if len(m.lineRevs) > 0 && f.anyTook(m.lineRevs[0], sort) {
 		g.CPU.LineChangeMS = milliseconds(above(m.lines, m.rest, sum, n)) / float64(len(m.lineRevs))
 	}
-	if m.lost != nil {
+	if m.lost != nil && f.anyTook(m.lost.rev, sort) {
 		g.CPU.ZoneLostMS = milliseconds(above(m.lost.span, m.load, sum, n))
 	}
-	if m.back != nil {
+	if m.back != nil && f.anyTook(m.back.rev, sort) {
 		g.CPU.ZoneBackMS = milliseconds(above(m.back.span, m.load, sum, n))
 	}
 }
 
+// anyTook tells whether an edge node of a sort has taken a version: where none has, its
+// cost is not known.
+func (f *fleet) anyTook(rev int64, sort int) bool {
+	for no := range f.takes.of(rev) {
+		if f.isReal(no) == (sort == sortReal) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *fleet) realGroup(g *Group) {
 	m := &f.measured
 	g.Count = f.Real
@@ -363,14 +374,12 @@
 	}
 }
 
-// scaledIn is what an edge node would take in of a kind in the whole fleet: sights come
-// from all that use the servers it watches, verdicts from all watchers.
+// scaledIn is what an edge node would take in of a kind in the whole fleet. Sights and
+// verdicts come from all edge nodes alike, of which a part exists; the other kinds come
+// from the sets of tenants, which exist whole.
 func (f *fleet) scaledIn(name string, row KindFlow) Flow {
-	switch {
-	case strings.Contains(name, "sight"):
-		return row.Out
-	case strings.Contains(name, "verdict"):
-		return Flow{}.plus(row.Out, float64(f.Nodes-1))
+	if others := f.existing() - 1; others > 0 && (strings.Contains(name, "sight") || strings.Contains(name, "verdict")) {
+		return Flow{}.plus(row.In, float64(f.Nodes-1)/float64(others))
 	}
 	return row.In
 }
