--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -74,6 +74,7 @@
 		class   int
 		units   int
 		latency time.Duration // that the server's model will take for each attempt
+		spent   time.Duration // by the module of this edge node when it came
 	}
 	listing struct {
 		list *decodedList
@@ -236,7 +237,7 @@
 	class := &w.Classes[a.class]
 	r := &hollowRequest{arrival: a, class: class, due: a.at + class.Deadline.D() - answerMargin}
 	now := unixNow()
-	h.fleet.hollowLoad.handled(now - a.at)
+	h.fleet.hollowLoad.handled(now-a.at, h.spentTime()-a.spent)
 	h.open[h.nextID] = r
 	heap.Push(&h.timers, hollowTimer{at: r.due, overdue: h.nextID})
 	h.decide(causeRequest, policy.Request{ID: h.nextID, Customer: a.tenant.Key, Plan: w.Plans[a.tenant.Plan].Name, Class: class.Name,
@@ -420,12 +421,19 @@
 	model := latencyModel{w}
 	h.fleet.openLoop(ctx, h.no, func(at time.Duration) {
 		class := w.ClassOf(rng)
-		a := arrival{at: at, tenant: h.fleet.tenants.at(h.no, rng), class: class, units: 1 + rng.IntN(max(1, w.Load.Units)), latency: model.draw(class, rng)}
+		a := arrival{at: at, tenant: h.fleet.tenants.at(h.no, rng), class: class, units: 1 + rng.IntN(max(1, w.Load.Units)), latency: model.draw(class, rng), spent: h.spentTime()}
 		h.post(a)
 		h.fleet.hollowLoad.asked(unixNow() - at)
 	})
 }
 
+// spentTime is the processor time that its module has taken.
+func (h *hollow) spentTime() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.spent.total()
+}
+
 // reading is what it has spent and lost until now.
 func (h *hollow) reading() (spent spending, ready time.Duration, dropped int64) {
 	h.mu.Lock()
--- a/internal/lab/scale/process.go
+++ b/internal/lab/scale/process.go
@@ -62,7 +62,7 @@
 	}
 	p.cmd = exec.Command(f.Program)
 	p.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_NAME=", "GW_LISTEN=", "GW_DISCOVERY=", "GOMAXPROCS=1", "GODEBUG=gctrace=1")
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true} // a terminal's Ctrl-C is the lab's alone
 	said, err := p.cmd.StderrPipe()
 	if err != nil {
 		return err
