--- /dev/null
+++ b/internal/lab/sweep/settings.go
@@ -0,0 +1,70 @@
+package sweep
+
+import (
+	"fmt"
+	"time"
+
+	"valvering.example/valvering/policy"
+)
+
+// The plans by what they limit.
+const (
+	planFree = "free" // neither
+	planRate = "rate" // units a second
+	planOpen = "cap"  // attempts out at once
+	planBoth = "both"
+	planWide = "wide" // a rate that takes several roots
+)
+
+const class = "read"
+
+// Figures of the fleet that the plan of the users leaves open: docs/CAPACITY.md names them
+// as assumptions.
+const (
+	datagramsPerSecond = 100 // that an edge node takes in
+	zones              = 18
+	serversPerCell     = 4
+	latency            = 30 * time.Millisecond
+	epoch              = time.Hour // when a sweep begins, by the module's clock
+)
+
+// settings are those of one edge node of a fleet.
+func settings(me, nodes int) policy.Settings {
+	return policy.Settings{Me: me, Gateways: nodes, Zone: zone(me), Resolution: 2 * time.Millisecond, MaxAttempts: 6,
+		CanCancel: true, CanTell: true, MailPerSecond: datagramsPerSecond, LargestUnits: 3, MaxRetryAfter: time.Second,
+		Classes: []policy.Class{
+			{Name: class, Aim: 300 * time.Millisecond, Deadline: time.Second},
+			{Name: "lend", Aim: 1200 * time.Millisecond, Deadline: 5 * time.Second, Effect: policy.Keyed, Window: 5 * time.Second},
+			{Name: "renew", Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Effect: policy.Unsafe},
+		},
+		Plans: []policy.Plan{
+			{Name: planFree},
+			{Name: planRate, Rate: 6, Burst: 240},
+			{Name: planOpen, Open: 4},
+			{Name: planBoth, Rate: 6, Burst: 240, Open: 4},
+			{Name: planWide, Rate: 200, Burst: 400},
+		},
+		AnswerSlack: 8 * time.Millisecond, ColdShare: 0.2, WarmWithin: 12 * time.Second, FallMultiple: 3, FallTime: 1500 * time.Millisecond}
+}
+
+func zone(i int) string { return fmt.Sprintf("zone-%02d", i%zones) }
+
+// serverList is a list of warm servers.
+func serverList(n int) []policy.Server {
+	list := make([]policy.Server, n)
+	for i := range list {
+		list[i] = policy.Server{ID: policy.ServerID(i + 1), Zone: zone(i), Cell: i / serversPerCell, State: policy.Running,
+			HasStart: true, Start: time.Second, Weight: 1}
+	}
+	return list
+}
+
+// newGateway makes an edge node's module that has been told a list.
+func newGateway(me, nodes int, list []policy.Server) (*policy.Gateway, error) {
+	g, err := policy.New(settings(me, nodes), uint64(me)+1)
+	if err != nil {
+		return nil, err
+	}
+	g.Handle(epoch, policy.Members{Kind: policy.Whole, Servers: list}, nil)
+	return g, nil
+}
--- /dev/null
+++ b/internal/lab/sweep/sweep.go
@@ -0,0 +1,189 @@
+// Package sweep measures, in one process, what the parts of an edge node cost as one
+// quantity of the plan grows and all others stay: processor time, memory, datagrams and
+// bytes. A straight line is fitted to the medians of each measure, so that the cost at the
+// planned size rests on a measured slope (docs/CAPACITY.md).
+//
+// The decision module is driven through its exported interface: events go in, and the
+// actions that come out are answered as a network and lending servers without faults would.
+// Nothing opens a socket but the measure of the operators' address, on loopback.
+//
+// Processor time is that of the whole process with one processor for Go code, so garbage
+// collection counts. Times are in microseconds, memory and messages in bytes.
+package sweep
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+
+	"valvering.example/valvering/internal/lab/stats"
+)
+
+// Quantity is what grows in a sweep.
+type Quantity string
+
+// The quantities.
+const (
+	Servers Quantity = "servers" // lending servers in the list
+	Nodes   Quantity = "nodes"   // edge nodes in the fleet
+	Tenants Quantity = "tenants" // tenants that one edge node knows
+	Rate    Quantity = "rate"    // requests a second that come in at one edge node
+)
+
+// Quantities are all of them, in the order of a report.
+var Quantities = []Quantity{Servers, Nodes, Tenants, Rate}
+
+// The planned size, and today's.
+const (
+	PlannedNodes   = 6200
+	PlannedServers = 56000
+	PlannedTenants = 300000
+	PlannedRate    = 127 // requests a second and edge node: 790,000 over all
+	TodayNodes     = 300
+	TodayServers   = 200
+)
+
+// Options say what is swept, and how often each point is measured.
+type Options struct {
+	What        []Quantity
+	Repetitions int
+	Servers     []int // points of each quantity
+	Nodes       []int
+	Tenants     []int
+	Rate        []int
+	Seconds     int // of simulated time behind each point of the rate
+}
+
+// Defaults are the sweeps behind docs/CAPACITY.md.
+func Defaults() Options {
+	return Options{What: Quantities, Repetitions: 5, Seconds: 4,
+		Servers: []int{TodayServers, 2000, 8000, 20000, PlannedServers},
+		Nodes:   []int{TodayNodes, 1000, 2500, 4000, PlannedNodes},
+		Tenants: []int{300, 3000, 10000, 30000},
+		Rate:    []int{16, 32, 64, PlannedRate, 200}}
+}
+
+// Point is a measure at one size.
+type Point struct {
+	X      int       `json:"x"`
+	Values []float64 `json:"values"` // one a repetition
+	Median float64   `json:"median"`
+}
+
+// Series is a measure at all sizes of one quantity.
+type Series struct {
+	Quantity Quantity `json:"quantity"`
+	Measure  string   `json:"measure"`
+	Unit     string   `json:"unit"`
+	Points   []Point  `json:"points"`
+	Fit      Fit      `json:"fit"`
+}
+
+// Result is what was measured.
+type Result struct {
+	Repetitions int      `json:"repetitions"`
+	Processors  int      `json:"processors"` // for Go code, while it was measured
+	Go          string   `json:"go"`
+	Series      []Series `json:"series"`
+	Partial     bool     `json:"partial"` // it was ended before all was measured
+}
+
+// sample is one value of one measure.
+type sample struct {
+	measure, unit string
+	value         float64
+}
+
+// sweeper gathers the samples of one sweep.
+type sweeper struct {
+	quantity Quantity
+	index    map[string]int
+	series   []Series
+}
+
+func newSweeper(q Quantity) *sweeper { return &sweeper{quantity: q, index: map[string]int{}} }
+
+// add takes samples at a size into their series.
+func (s *sweeper) add(x int, samples ...sample) {
+	for _, v := range samples {
+		i, known := s.index[v.measure]
+		if !known {
+			i = len(s.series)
+			s.index[v.measure] = i
+			s.series = append(s.series, Series{Quantity: s.quantity, Measure: v.measure, Unit: v.unit})
+		}
+		points := &s.series[i].Points
+		if n := len(*points); n == 0 || (*points)[n-1].X != x {
+			*points = append(*points, Point{X: x})
+		}
+		last := &(*points)[len(*points)-1]
+		last.Values = append(last.Values, v.value)
+	}
+}
+
+// finish takes the medians and fits the lines.
+func (s *sweeper) finish() []Series {
+	for i := range s.series {
+		line := &s.series[i]
+		var x, y []float64
+		for k := range line.Points {
+			p := &line.Points[k]
+			p.Median = stats.Median(p.Values)
+			x, y = append(x, float64(p.X)), append(y, p.Median)
+		}
+		line.Fit = fitLine(x, y)
+	}
+	return s.series
+}
+
+// measureAt is a sweep's work at one size: it adds the samples of all repetitions.
+type measureAt func(ctx context.Context, s *sweeper, x, repetitions int) error
+
+// Run plays the sweeps. When ctx ends it returns what was measured, marked as partial.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	before := runtime.GOMAXPROCS(1)
+	defer runtime.GOMAXPROCS(before)
+	r := &Result{Repetitions: o.Repetitions, Processors: 1, Go: runtime.Version()}
+	for _, q := range Quantities {
+		if !slices.Contains(o.What, q) {
+			continue
+		}
+		points, measure := o.plan(q)
+		s := newSweeper(q)
+		for _, x := range points {
+			if ctx.Err() != nil {
+				r.Partial = true
+				break
+			}
+			if err := measure(ctx, s, x, o.Repetitions); err != nil {
+				return nil, fmt.Errorf("%s %d: %w", q, x, err)
+			}
+		}
+		r.Series = append(r.Series, s.finish()...)
+	}
+	return r, nil
+}
+
+// plan gives the points of a quantity and what is measured at each.
+func (o *Options) plan(q Quantity) ([]int, measureAt) {
+	switch q {
+	case Servers:
+		return o.Servers, atServers
+	case Nodes:
+		return o.Nodes, atNodes
+	case Tenants:
+		return o.Tenants, atTenants
+	}
+	return o.Rate, atRate(o.Seconds)
+}
+
+// Find returns a series by quantity and measure; nil: it was not measured.
+func (r *Result) Find(q Quantity, measure string) *Series {
+	for i := range r.Series {
+		if s := &r.Series[i]; s.Quantity == q && s.Measure == measure {
+			return s
+		}
+	}
+	return nil
+}
