--- a/cmd/valverlab/main.go
+++ b/cmd/valverlab/main.go
@@ -50,6 +50,7 @@
 	Ledger  ledgerCmd  `cmd:"" help:"Account for all worth that was to be had: earned, or lost by one cause each."`
 	List    listCmd    `cmd:"" help:"List the faults, baselines and loads there are."`
 	Check   checkCmd   `cmd:"" help:"Check an experiment's file."`
+	Sweep   sweepCmd   `cmd:"" help:"Measure what the parts of an edge node cost as one quantity grows, and fit slopes."`
 }
 
 func main() { os.Exit(command(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/valverlab/sweep_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"valvering.example/valvering/internal/lab/sweep"
+)
+
+// A sweep prints one JSON object with the measures of the quantity asked for, and a table
+// else; a flag that can't be used is named.
+func TestSweep(t *testing.T) {
+	code, out, warn := ran("sweep", "--small", "--repetitions", "1", "--what", "rate", "--json")
+	var r sweep.Result
+	if err := json.Unmarshal([]byte(out), &r); code != exitSound || err != nil {
+		t.Fatalf("exit %d, %v: %s%s", code, err, out, warn)
+	}
+	if s := r.Find(sweep.Rate, "plan rate: all kinds"); s == nil || len(s.Points) != 3 || len(s.Points[0].Values) != 1 {
+		t.Errorf("%+v", s)
+	}
+	for _, s := range r.Series {
+		if s.Quantity != sweep.Rate {
+			t.Errorf("%s was not asked for", s.Quantity)
+		}
+	}
+	if code, out, warn = ran("sweep", "--small", "--repetitions", "1", "--what", "tenants"); code != exitSound || !strings.Contains(out, "| tenants | unit | 100 |") {
+		t.Errorf("exit %d: %s%s", code, out, warn)
+	}
+	for _, args := range [][]string{{"--what", "everything"}, {"--repetitions", "0"}, {"--repetitions", "1000"}} {
+		if code, _, warn := ran(append([]string{"sweep"}, args...)...); code != exitUnusual || !strings.Contains(warn, args[0]) {
+			t.Errorf("%v: exit %d, %s", args, code, warn)
+		}
+	}
+}
