--- a/cmd/valverlab/sweep.go
+++ b/cmd/valverlab/sweep.go
@@ -11,7 +11,7 @@
 const mostRepetitions = 100
 
 type sweepCmd struct {
-	What        string `help:"What grows: servers, nodes, tenants, rate or all." enum:"servers,nodes,tenants,rate,all" default:"all"`
+	What        string `help:"What grows: servers, nodes, tenants, rate, the length of a cut, or all." enum:"servers,nodes,tenants,rate,cut,all" default:"all"`
 	Repetitions int    `help:"How often each point is measured." default:"5"`
 	Small       bool   `help:"Few and small points: that all is there, not what it costs."`
 	Out         string `help:"Keep results, tables and plots in this folder." placeholder:"DIR"`
@@ -21,7 +21,7 @@
 // smallSweep is enough to see that each measure yields a figure.
 func smallSweep() sweep.Options {
 	o := sweep.Defaults()
-	o.Servers, o.Nodes, o.Tenants, o.Rate, o.Seconds = []int{50, 100, 200}, []int{300, 400, 600}, []int{100, 200, 300}, []int{4, 8, 16}, 1
+	o.Servers, o.Nodes, o.Tenants, o.Rate, o.Cut, o.Seconds = []int{50, 100, 200}, []int{300, 400, 600}, []int{100, 200, 300}, []int{4, 8, 16}, []int{2, 4, 6}, 1
 	return o
 }
 
--- /dev/null
+++ b/internal/lab/sweep/cut.go
@@ -0,0 +1,63 @@
+package sweep
+
+import (
+	"context"
+	"time"
+)
+
+// A cut between two halves of a tenant's edge nodes, with more asked for on each side than
+// the quota bears. What is admitted is measured in seconds of the quota, so the slope is
+// the multiple of the quota that passes for as long as the cut lasts.
+const (
+	cutTenants = 8
+	cutDemand  = 3.0 // of the quota, on each side
+	cutWarm    = 5 * time.Second
+)
+
+// halves are the ways to halve a set. Root and deputy of a tenant stand half a set apart.
+var halves = []struct {
+	name string
+	side func(node int) int
+}{
+	{"root and deputy on two sides", func(node int) int { return node / (setNodes / 2) }},
+	{"root and deputy on one side", func(node int) int { return node % 2 }},
+}
+
+// atCut measures what a set admits during a cut of so many seconds.
+func atCut(ctx context.Context, s *sweeper, seconds, repetitions int) error {
+	for seed := range repetitions {
+		for _, h := range halves {
+			if ctx.Err() != nil {
+				return nil
+			}
+			list, err := playCut(h.name, h.side, seconds, uint64(seed)+1)
+			if err != nil {
+				return err
+			}
+			s.add(seconds, list...)
+		}
+	}
+	return nil
+}
+
+// playCut plays one cut. The quota in force before it is used up by then.
+func playCut(name string, side func(int) int, seconds int, seed uint64) ([]sample, error) {
+	const rate = int(2 * cutDemand * tightRate * cutTenants / setNodes)
+	f, err := newFleet(planTight, rate, seed)
+	if err != nil {
+		return nil, err
+	}
+	f.tenants = cutTenants
+	f.play(cutWarm, rate)
+	quota := tightRate * cutTenants
+	f.counting = true
+	f.play(cutWarm, rate)
+	before := float64(f.traffic.sent) / quota / cutWarm.Seconds()
+	f.traffic = traffic{count: map[kind]int{}}
+	f.cut = func(from, to int) bool { return side(from) != side(to) }
+	f.play(time.Duration(seconds)*time.Second, rate)
+	return []sample{
+		{name + ": admitted", "s of quota", float64(f.traffic.sent) / quota},
+		{name + ": admitted before, of the quota", "part", before},
+	}, nil
+}
--- a/internal/lab/sweep/fleet.go
+++ b/internal/lab/sweep/fleet.go
@@ -55,6 +55,7 @@
 	attempts []attempt
 	timers   [][]timer
 	counting bool
+	cut      func(from, to int) bool // tells whether a datagram is lost; nil: none is
 	traffic  traffic
 }
 
@@ -112,7 +113,7 @@
 	}
 	f.traffic.count[kindOf(t.Data)] += f.counted()
 	f.traffic.bytes += f.counted() * len(t.Data)
-	if t.To < len(f.nodes) {
+	if t.To < len(f.nodes) && (f.cut == nil || !f.cut(from, t.To)) {
 		f.mail = append(f.mail, datagram{f.now + travel, from, t.To, t.Data})
 	}
 }
--- a/internal/lab/sweep/settings.go
+++ b/internal/lab/sweep/settings.go
@@ -9,15 +9,19 @@
 
 // The plans by what they limit.
 const (
-	planFree = "free" // neither
-	planRate = "rate" // units a second
-	planOpen = "cap"  // attempts out at once
-	planBoth = "both"
-	planWide = "wide" // a rate that takes several roots
+	planFree  = "free" // neither
+	planRate  = "rate" // units a second
+	planOpen  = "cap"  // attempts out at once
+	planBoth  = "both"
+	planWide  = "wide"  // a rate that takes several roots
+	planTight = "tight" // a rate with a small burst
 )
 
 const class = "read"
 
+// tightRate is the rate of a tenant on the tight plan, in units a second.
+const tightRate = 6.0
+
 // Figures of the fleet that the plan of the users leaves open: docs/CAPACITY.md names them
 // as assumptions.
 const (
@@ -43,6 +47,7 @@
 			{Name: planOpen, Open: 4},
 			{Name: planBoth, Rate: 6, Burst: 240, Open: 4},
 			{Name: planWide, Rate: 200, Burst: 400},
+			{Name: planTight, Rate: tightRate, Burst: 12},
 		},
 		AnswerSlack: 8 * time.Millisecond, ColdShare: 0.2, WarmWithin: 12 * time.Second, FallMultiple: 3, FallTime: 1500 * time.Millisecond}
 }
--- a/internal/lab/sweep/sweep.go
+++ b/internal/lab/sweep/sweep.go
@@ -29,10 +29,11 @@
 	Nodes   Quantity = "nodes"   // edge nodes in the fleet
 	Tenants Quantity = "tenants" // tenants that one edge node knows
 	Rate    Quantity = "rate"    // requests a second that come in at one edge node
+	Cut     Quantity = "cut"     // seconds for which two halves of a tenant's edge nodes don't hear each other
 )
 
 // Quantities are all of them, in the order of a report.
-var Quantities = []Quantity{Servers, Nodes, Tenants, Rate}
+var Quantities = []Quantity{Servers, Nodes, Tenants, Rate, Cut}
 
 // The planned size, and today's.
 const (
@@ -52,6 +53,7 @@
 	Nodes       []int
 	Tenants     []int
 	Rate        []int
+	Cut         []int
 	Seconds     int // of simulated time behind each point of the rate
 }
 
@@ -61,7 +63,8 @@
 		Servers: []int{TodayServers, 2000, 8000, 20000, PlannedServers},
 		Nodes:   []int{TodayNodes, 1000, 2500, 4000, PlannedNodes},
 		Tenants: []int{300, 3000, 10000, 30000},
-		Rate:    []int{16, 32, 64, PlannedRate, 200}}
+		Rate:    []int{16, 32, 64, PlannedRate, 200},
+		Cut:     []int{10, 20, 40}}
 }
 
 // Point is a measure at one size.
@@ -174,6 +177,8 @@
 		return o.Nodes, atNodes
 	case Tenants:
 		return o.Tenants, atTenants
+	case Cut:
+		return o.Cut, atCut
 	}
 	return o.Rate, atRate(o.Seconds)
 }
--- a/internal/lab/sweep/sweep_test.go
+++ b/internal/lab/sweep/sweep_test.go
@@ -16,7 +16,7 @@
 // small is a sweep of few and small points.
 func small(what ...Quantity) Options {
 	return Options{What: what, Repetitions: 2, Seconds: 1,
-		Servers: []int{40, 80, 120}, Nodes: []int{300, 400, 500}, Tenants: []int{80, 120, 160}, Rate: []int{4, 8, 12}}
+		Servers: []int{40, 80, 120}, Nodes: []int{300, 400, 500}, Tenants: []int{80, 120, 160}, Rate: []int{4, 8, 12}, Cut: []int{2, 4, 6}}
 }
 
 func played(t *testing.T, what ...Quantity) *Result {
@@ -41,6 +41,7 @@
 			"a datagram over loopback, sent and received"},
 		Tenants: {memberTick, rootTick, newSettings, memberRate, rootRate, heapRoot, heapMember, routeTable},
 		Rate:    {"plan free: sight", "plan rate: ask", "plan rate: answer", "plan cap: ended", "plan cap: all kinds", "plan cap: payload"},
+		Cut:     {"root and deputy on two sides: admitted", "root and deputy on one side: admitted"},
 	}
 	once := []string{heapRoot, heapMember} // measured when all else is done
 	for q, names := range want {
@@ -97,6 +98,23 @@
 	}
 }
 
+// A cut lets each tenant have its quota twice at the most: at its root and at its deputy.
+func TestCutGrantsTwiceAtMost(t *testing.T) {
+	r := played(t, Cut)
+	for _, h := range halves {
+		for _, p := range r.Find(Cut, h.name+": admitted").Points {
+			for _, v := range p.Values {
+				if burst := 2 * 12 / tightRate; v > 2*float64(p.X)+burst {
+					t.Errorf("%s: %v s of the quota in %d s", h.name, v, p.X)
+				}
+			}
+		}
+	}
+	if two := r.Find(Cut, halves[0].name+": admitted").Fit.Slope; two < 1.5 {
+		t.Errorf("%v of the quota: neither side asked for enough", two)
+	}
+}
+
 // A sweep that is ended says so, and has measured nothing after that.
 func TestEndedSweepIsPartial(t *testing.T) {
 	ctx, end := context.WithCancel(context.Background())
