--- a/internal/lab/sweep/fleet.go
+++ b/internal/lab/sweep/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"valvering.example/valvering/policy"
@@ -57,6 +58,9 @@
 	counting bool
 	cut      func(from, to int) bool // tells whether a datagram is lost; nil: none is
 	traffic  traffic
+	gone     int // an edge node that has ended without a word; below 0: none has
+	arrived  map[policy.RequestID]time.Duration
+	waits    []float64 // milliseconds from a request to its attempt
 }
 
 // timer is one that an edge node's module has set.
@@ -66,11 +70,17 @@
 }
 
 func newFleet(plan string, rate int, seed uint64) (*fleet, error) {
+	return newFleetOf(PlannedNodes, plan, rate, seed)
+}
+
+// newFleetOf makes a set that is told of so many edge nodes.
+func newFleetOf(nodes int, plan string, rate int, seed uint64) (*fleet, error) {
 	f := &fleet{now: epoch, rng: rand.New(rand.NewPCG(seed, 1)), plan: plan, timers: make([][]timer, setNodes),
-		tenants: max(1, int(float64(setNodes*rate)/perTenant)), traffic: traffic{count: map[kind]int{}}}
+		tenants: max(1, int(float64(setNodes*rate)/perTenant)), traffic: traffic{count: map[kind]int{}},
+		gone: -1, arrived: map[policy.RequestID]time.Duration{}}
 	list := serverList(setServers)
 	for i := range setNodes {
-		g, err := policy.New(settings(i, PlannedNodes), seed*setNodes+uint64(i))
+		g, err := policy.New(settings(i, nodes), seed*setNodes+uint64(i))
 		if err != nil {
 			return nil, err
 		}
@@ -82,10 +92,14 @@
 
 // handle gives an edge node an event and carries out what it wants done.
 func (f *fleet) handle(i int, ev policy.Event) {
+	if i == f.gone {
+		return
+	}
 	for _, a := range f.nodes[i].Handle(f.now, ev, nil) {
 		switch a := a.(type) {
 		case policy.Send:
 			f.traffic.sent += f.counted()
+			f.noteWait(a.ID)
 			f.attempts = append(f.attempts, attempt{f.now + latency, i, a})
 		case policy.Refuse, policy.Fail:
 			f.traffic.refused += f.counted()
@@ -97,6 +111,22 @@
 	}
 }
 
+// sortedWaits are the waits, least first; there is at least one.
+func (f *fleet) sortedWaits() []float64 {
+	if len(f.waits) == 0 {
+		return []float64{0}
+	}
+	return slices.Sorted(slices.Values(f.waits))
+}
+
+// noteWait notes how long a request has waited for its attempt.
+func (f *fleet) noteWait(id policy.RequestID) {
+	if at, known := f.arrived[id]; known && f.counting {
+		f.waits = append(f.waits, float64(f.now-at)/float64(time.Millisecond))
+	}
+	delete(f.arrived, id)
+}
+
 // counted is 1 once the start is over.
 func (f *fleet) counted() int {
 	if f.counting {
@@ -158,8 +188,9 @@
 func (f *fleet) arrive(i int) {
 	f.next++
 	f.traffic.requests += f.counted()
-	r := request(f.next, fmt.Sprintf("tenant-%d", f.rng.IntN(f.tenants)), f.plan)
+	r := request(f.next, tenantName(f.rng.IntN(f.tenants)), f.plan)
 	r.Spread = setNodes
+	f.arrived[r.ID] = f.now
 	f.handle(i, r)
 }
 
--- a/internal/lab/sweep/module.go
+++ b/internal/lab/sweep/module.go
@@ -18,27 +18,29 @@
 
 // Measures of the module. What is called member or root is that edge node's part of a request.
 const (
-	memberFree     = "member: a request without quota"
-	memberRate     = "member: a request under a rate"
-	memberBoth     = "member: a request under rate and cap"
-	rootRate       = "root: a request under a rate"
-	rootBoth       = "root: a request under rate and cap"
-	tickAtRest     = "a tick at rest"
-	oneLine        = "a changed line"
-	firstList      = "the first list, of an edge node that starts"
-	wholeList      = "a whole list again"
-	zoneLines      = "the lines of one zone in one change"
-	verdictsMinute = "verdicts told in a minute of a server that fails all"
-	newSettings    = "new settings put in force"
-	copyServers    = "a copy of what is known of servers for a snapshot"
-	heapServer     = "heap of the module"
-	memberTick     = "member: a tick"
-	rootTick       = "root: a tick"
-	heapRoot       = "heap of tenants at their root"
-	heapMember     = "heap of tenants at a member"
-	routeTable     = "heap of a table of as many routes"
-	micros         = "us"
-	bytesUnit      = "B"
+	memberFree      = "member: a request without quota"
+	memberRate      = "member: a request under a rate"
+	memberBoth      = "member: a request under rate and cap"
+	rootRate        = "root: a request under a rate"
+	rootBoth        = "root: a request under rate and cap"
+	tickAtRest      = "a tick at rest"
+	oneLine         = "a changed line"
+	firstList       = "the first list, of an edge node that starts"
+	wholeList       = "a whole list again"
+	zoneLines       = "the lines of one zone in one change"
+	verdictsMinute  = "verdicts told in a minute of a server that fails all"
+	newSettings     = "new settings put in force"
+	copyServers     = "a copy of what is known of servers for a snapshot"
+	heapServer      = "heap of the module"
+	memberTick      = "member: a tick"
+	rootTick        = "root: a tick"
+	heapRoot        = "heap of tenants at their root"
+	busiestMixed    = "tenants at the busiest root of a set of 256, names that differ throughout"
+	busiestNumbered = "tenants at the busiest root of a set of 256, numbered names"
+	heapMember      = "heap of tenants at a member"
+	routeTable      = "heap of a table of as many routes"
+	micros          = "us"
+	bytesUnit       = "B"
 )
 
 // memberPlans are the plans whose requests are timed.
@@ -147,13 +149,18 @@
 	if err != nil {
 		return err
 	}
-	for range repetitions {
+	for seed := range repetitions {
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err := p.requests(s, nodes); err != nil {
 			return err
 		}
+		waits, err := rootGone(nodes, uint64(seed)+1)
+		if err != nil {
+			return err
+		}
+		s.add(nodes, waits...)
 		g, bytes := heapOf(func() *policy.Gateway {
 			g, err := newGateway(member, nodes, serverList(stillServers))
 			if err != nil {
@@ -187,6 +194,16 @@
 	if err := p.meet(); err != nil {
 		return err
 	}
+	for _, names := range []struct {
+		measure string
+		of      func(int) string
+	}{{busiestMixed, tenantName}, {busiestNumbered, numberedName}} {
+		uneven, err := busiestRoot(tenants, names.of)
+		if err != nil {
+			return err
+		}
+		s.add(tenants, sample{names.measure, "of an even part", uneven})
+	}
 	for range repetitions {
 		if ctx.Err() != nil {
 			return nil
@@ -209,6 +226,28 @@
 	return nil
 }
 
+// busiestRoot is how many of a number of tenants have the busiest root of a set of
+// evenSet edge nodes, against an even part.
+func busiestRoot(tenants int, name func(int) string) (float64, error) {
+	const evenSet = 256
+	g, err := newGateway(member, PlannedNodes, serverList(1))
+	if err != nil {
+		return 0, err
+	}
+	at, most := map[int]int{}, 0
+	for i := range tenants {
+		r := request(policy.RequestID(i+1), name(i), planRate)
+		r.Spread = evenSet
+		to := member
+		if asks := tells(g.Handle(epoch, r, nil), kindAsk); len(asks) == 1 {
+			to = asks[0].To
+		}
+		at[to]++
+		most = max(most, at[to])
+	}
+	return float64(most) * evenSet / float64(tenants), nil
+}
+
 // meet has each tenant ask once, so that member and root know all.
 func (p *pair) meet() error {
 	for done := 0; done < len(p.tenants[planRate]); done += stillTenants {
--- a/internal/lab/sweep/pair.go
+++ b/internal/lab/sweep/pair.go
@@ -67,7 +67,7 @@
 		if i > 10*n+100 {
 			return nil, fmt.Errorf("%d of %d tenants ask the root", len(names), n)
 		}
-		name := fmt.Sprintf("tenant-%d", i)
+		name := tenantName(i)
 		acts := probe.Handle(epoch, request(policy.RequestID(i+1), name, planRate), nil)
 		if list := tells(acts, kindAsk); len(list) == 1 && list[0].To == root {
 			names = append(names, name)
--- a/internal/lab/sweep/settings.go
+++ b/internal/lab/sweep/settings.go
@@ -73,3 +73,10 @@
 	g.Handle(epoch, policy.Members{Kind: policy.Whole, Servers: list}, nil)
 	return g, nil
 }
+
+// tenantName is a name that differs from others in its first characters too: names that
+// differ in their last ones alone share roots, which is measured by itself.
+func tenantName(i int) string { return fmt.Sprintf("%016x", uint64(i+1)*0x9e3779b97f4a7c15) }
+
+// numberedName is one of names that differ in their last characters alone.
+func numberedName(i int) string { return fmt.Sprintf("library-%06d", i) }
--- a/internal/lab/sweep/sweep_test.go
+++ b/internal/lab/sweep/sweep_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"valvering.example/valvering/policy"
 )
@@ -35,15 +36,15 @@
 	want := map[Quantity][]string{
 		Servers: {memberFree, memberRate, memberBoth, rootRate, rootBoth, tickAtRest, oneLine, zoneLines, wholeList, firstList, newSettings, copyServers,
 			heapServer, verdictsMinute, "list: text", "list: decoded and checked", "list: heap", "snapshot: encoded", "snapshot: file"},
-		Nodes: {memberFree, rootRate, tickAtRest, heapServer, "edge nodes that watch a server", "datagram: sight", "datagram: verdict",
+		Nodes: {memberFree, rootRate, tickAtRest, heapServer, "edge nodes that watch a server", "datagram: sight", "one root of 16 gone: their wait, median", "datagram: verdict",
 			"datagram: report", "configuration: parsed and checked", "configuration: heap", "peers: table of addresses",
 			"lease: choice of voters", "lease: a message at a voter", "operators: GET /status, both ends",
 			"a datagram over loopback, sent and received"},
-		Tenants: {memberTick, rootTick, newSettings, memberRate, rootRate, heapRoot, heapMember, routeTable},
+		Tenants: {memberTick, rootTick, newSettings, memberRate, rootRate, heapRoot, heapMember, routeTable, busiestMixed, busiestNumbered},
 		Rate:    {"plan free: sight", "plan rate: ask", "plan rate: answer", "plan cap: ended", "plan cap: all kinds", "plan cap: payload"},
 		Cut:     {"root and deputy on two sides: admitted", "root and deputy on one side: admitted"},
 	}
-	once := []string{heapRoot, heapMember} // measured when all else is done
+	once := []string{heapRoot, heapMember, busiestMixed, busiestNumbered} // heaps when all else is done
 	for q, names := range want {
 		for _, name := range names {
 			s := r.Find(q, name)
@@ -115,6 +116,18 @@
 	}
 }
 
+// While a root is gone some of its tenants' requests wait for its deputy, and none does else.
+func TestGoneRootIsWaitedFor(t *testing.T) {
+	list, err := rootGone(300, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	most, part, wait := list[0].value, list[1].value, list[2].value
+	if trip := 2 * float64(travel/time.Millisecond); most < trip || part <= 0 || part > 0.5 || wait <= most {
+		t.Errorf("at most %v ms with all there; %v of the requests %v ms with a root gone", most, part, wait)
+	}
+}
+
 // A sweep that is ended says so, and has measured nothing after that.
 func TestEndedSweepIsPartial(t *testing.T) {
 	ctx, end := context.WithCancel(context.Background())
