--- a/policy/policy.go
+++ b/policy/policy.go
@@ -515,7 +515,7 @@
 // ejected (but for a trial), inside its group and window once it may have
 // run, and inside the budget of a cold server.
 func (g *Gateway) usable(s *server, r *request) bool {
-	if s.State != Running || g.now < s.fullAt[r.c.plan] ||
+	if s.State != Running || g.now < s.fullAt[r.c.plan] || g.tree && g.now < s.unreachedTo ||
 		r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
 		return false
 	}
@@ -744,6 +744,7 @@
 	}
 	switch ev.Code {
 	case OK:
+		s.redial = 0
 		if v := g.record(s, r.cl); v != nil {
 			v.okAt = g.now
 		}
@@ -753,6 +754,10 @@
 		g.mean += learnMean * (r.cl.mean - g.mean)
 		r.cl.seen++ // the first outcomes count for more
 		r.cl.mean += max(learnMean, 1/(r.cl.seen+1)) * (min(lat, mostLatency*r.cl.mean) - r.cl.mean)
+	case ConnectFailed:
+		// In a large fleet others judge it, who may reach it, or not be heard.
+		s.redial = min(2*s.redial+trialEvery, trialMost)
+		s.unreachedTo = g.now + s.redial
 	case Full:
 		// It may turn away one plan only: this one goes elsewhere for a while.
 		s.fullAt[r.c.plan] = g.now + fullFor
