--- a/cmd/valvering/restart_test.go
+++ b/cmd/valvering/restart_test.go
@@ -31,7 +31,7 @@
 				s.write(`{"name":"dasar"}`)
 				s.start()
 				if known != "file" {
-					testkit.Eventually(t, "the list on disk", func() bool { return strings.Contains(string(s.newest()), s.lenders[1].Addr().String()) })
+					testkit.Eventually(t, "the list on disk", func() bool { return s.keeps(s.lenders[1].Addr().String()) })
 				}
 				s.overrun(discovery)
 				longest := time.Duration(0)
