--- a/policy/policy.go
+++ b/policy/policy.go
@@ -542,7 +542,7 @@
 	if g.tree {
 		return g.draw(g.candidates(r))
 	}
-	ok, doubted := g.sortOut(g.fleet, r)
+	ok, doubted := g.sortOut(g.fleet, r, false)
 	if tooMany(doubted, ok) {
 		ok = append(ok, doubted...)
 	}
@@ -588,11 +588,11 @@
 }
 
 // sortOut finds the servers that a request may go to, and those that it might but
-// for their being out of use for its class.
-func (g *Gateway) sortOut(list []*server, r *request) (ok, doubted []*server) {
+// for their being out of use for its class; of the warm ones alone if told so.
+func (g *Gateway) sortOut(list []*server, r *request, warm bool) (ok, doubted []*server) {
 	g.look(len(list))
 	for _, s := range list {
-		if s == r.last || !g.usable(s, r) {
+		if s == r.last || !g.usable(s, r) || warm && g.coldness(s) < 1 {
 			continue
 		}
 		if g.outOfUse(s, r.cl) {
@@ -611,11 +611,13 @@
 
 // candidates are the servers that a large fleet's gateway draws from: those of its
 // working set that can be used. Where these are too few the set is doubled, step by
-// step. A repeat that its group alone may get goes to a part of that group.
+// step. A repeat that its group alone may get goes to a part of that group. One that
+// is held draws anew at each tick and outcome, cold servers but once in the time in
+// which they may fall: draws bound their part of each, not how many there are.
 func (g *Gateway) candidates(r *request) []*server {
 	fewest := (1 - mostOut) * g.setSize()
-	group := g.groupOf(r)
-	if group != nil {
+	group, warm := g.groupOf(r), r.redrawn(g.now, g.set.FallTime)
+	if group != nil || warm {
 		fewest = 1
 	}
 	fewest = min(fewest, float64(g.live))
@@ -624,7 +626,7 @@
 		if group != nil {
 			list = g.along(group, min(leastSet<<steps, group.len()))
 		}
-		ok, doubted := g.sortOut(list, r)
+		ok, doubted := g.sortOut(list, r, warm)
 		if float64(len(ok)) >= fewest {
 			g.stillNeeded(ok, fewest)
 			return ok
