--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"valvering.example/valvering/internal/roster"
@@ -65,10 +66,16 @@
 	}
 	k.news = false
 	k.at, k.number = now, st.Current.Number
+	memory := l.gateway.Memory(now, last)
+	memory.Servers = slices.DeleteFunc(memory.Servers, unjudged)
 	return &snapshot.State{Taken: snapshot.Now(), Clean: last, Lines: k.encode, Current: st.Current.Kept(),
-		Before: st.Before.Kept(), Left: st.Left, Memory: l.gateway.Memory(now, last)}
+		Before: st.Before.Kept(), Left: st.Left, Memory: memory}
 }
 
+// unjudged tells whether nothing is known of a server that a new process would not take
+// for granted: before a large fleet it is so with most.
+func unjudged(s policy.ServerMemory) bool { return s.Slow == 1 && s.Pace == 1 && len(s.Faults) == 0 }
+
 // restore gives the loop what was kept, before anything else comes, and tells
 // whether the list is as good as discovery's. The stores of a planned stop count
 // once a snapshot without them is in place: a crash from now on must not find them
--- a/internal/node/keep_test.go
+++ b/internal/node/keep_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"valvering.example/valvering/internal/lease"
+	"valvering.example/valvering/internal/roster"
 	"valvering.example/valvering/internal/snapshot"
 	"valvering.example/valvering/internal/testkit"
 	"valvering.example/valvering/policy"
@@ -246,3 +247,27 @@
 		t.Error("duties though none is named")
 	}
 }
+
+// Of servers only what is known is kept, and the list whether or not anything is.
+func TestKeepsWhatIsKnownOfServers(t *testing.T) {
+	k, letGo := kept(t, filepath.Join(t.TempDir(), "state"))
+	defer letGo()
+	n, err := New(testConfig(t, refusing(t)), k)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.end()
+	defer n.listener.Close()
+	n.loop.handle(members{list: largeFleet(3, 1), kind: policy.Whole, whole: policy.Whole})
+	n.loop.handle(policy.Restore{Memory: policy.Memory{Servers: []policy.ServerMemory{{ID: 2, Slow: 2, Pace: 2}}}})
+	st := n.keep.state(n.loop, false)
+	if st == nil || len(st.Memory.Servers) != 1 || st.Memory.Servers[0].ID != 2 {
+		t.Fatalf("%+v", st)
+	}
+	if l, err := roster.ParseBinary(st.Lines()); err != nil || len(l.Targets) != 3 {
+		t.Errorf("%+v, %v", l, err)
+	}
+	if n.keep.state(n.loop, false) != nil {
+		t.Error("kept again at once, though nothing has changed")
+	}
+}
--- a/internal/node/members_test.go
+++ b/internal/node/members_test.go
@@ -26,20 +26,23 @@
 	t.Helper()
 	done := make(chan struct{})
 	go func() { l.feed(list, kind); close(done) }()
+	take := func(ev any) {
+		switch ev := ev.(type) {
+		case members:
+			got = append(got, ev)
+			l.events <- giveUp(false)
+		case giveUp:
+			between++
+		}
+		l.handle(ev)
+	}
 	for {
 		select {
 		case ev := <-l.events:
-			switch ev := ev.(type) {
-			case members:
-				got = append(got, ev)
-				l.events <- giveUp(false)
-			case giveUp:
-				between++
-			}
-			l.handle(ev)
-		case <-done:
+			take(ev)
+		case <-done: // what does not wait for the loop is still in its queue
 			for len(l.events) > 0 {
-				l.handle(<-l.events)
+				take(<-l.events)
 			}
 			return got, between
 		}
