--- a/cmd/valvering/garbage.go
+++ b/cmd/valvering/garbage.go
@@ -13,8 +13,8 @@
 const (
 	mostGCPercent  = 400
 	leastGCPercent = 50
-	mostGarbage    = 24 << 20 // bytes; where less lives than a quarter of it, mostGCPercent holds
-	gcLookEvery    = time.Second
+	mostGarbage    = 16 << 20 // bytes; where less lives than a quarter of it, mostGCPercent holds
+	gcLookEvery    = 100 * time.Millisecond
 	gcLeastChange  = 8 // a change by less than this fraction is not worth stopping the world
 )
 
