--- a/internal/lab/scale/clients.go
+++ b/internal/lab/scale/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -50,46 +51,58 @@
 	id := fmt.Sprintf("%016x", c.fleet.Seed<<40^c.nextID.Add(1)*0x9e3779b97f4a7c15)
 	ctx, end := context.WithTimeout(context.Background(), class.Deadline.D()+lostAfter)
 	defer end()
-	how := c.do(ctx, p, id, class, tenant, units)
+	how, err := c.do(ctx, p.at.String(), id, class, tenant, units)
+	c.close(id, how, err, at)
+}
+
+// close notes what became of a request that was meant to be made at a time.
+func (c *clients) close(id string, how ending, err error, at time.Duration) {
 	took := unixNow() - at
 	server, known := c.fleet.lender.took(id)
 	if how == endServed && !known {
-		how = endLost // no lending server made this answer
+		how, err = endLost, errForeign
+	}
+	if how == endLost {
+		c.fleet.realLoad.lost(err)
 	}
 	c.fleet.realLoad.end(how, took-server)
 }
 
-func (c *clients) do(ctx context.Context, p *process, id string, class *world.Class, tenant *world.Person, units int) ending {
-	req, err := c.build(ctx, p, id, class, tenant, units)
+// errForeign is an answer that no lending server made for the request.
+var errForeign = errors.New("served with what no lending server made for it")
+
+// do makes a request; the error says why it was lost.
+func (c *clients) do(ctx context.Context, addr, id string, class *world.Class, tenant *world.Person, units int) (ending, error) {
+	req, err := c.build(ctx, addr, id, class, tenant, units)
 	if err != nil {
-		return endFailed
+		return endFailed, nil
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return endLost
+		return endLost, err
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
 	switch {
 	case err != nil:
-		return endLost
+		return endLost, err
 	case resp.StatusCode == http.StatusOK && string(body) == loanOf(id):
-		return endServed
+		return endServed, nil
 	case resp.StatusCode == http.StatusOK:
-		return endLost
+		return endLost, errForeign
 	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
-		return endRefused
+		return endRefused, nil
 	}
-	return endFailed
+	return endFailed, nil
 }
 
 // build words a request.
-func (c *clients) build(ctx context.Context, p *process, id string, class *world.Class, tenant *world.Person, units int) (*http.Request, error) {
+func (c *clients) build(ctx context.Context, addr, id string, class *world.Class, tenant *world.Person, units int) (*http.Request, error) {
 	method, body := http.MethodPost, fmt.Sprintf(`{"book":%d}`, units)
 	if class.Effect == "repeatable" {
 		method, body = http.MethodGet, ""
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+p.at.String()+"/"+class.Name, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/"+class.Name, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/lab/scale/clients_test.go
@@ -0,0 +1,53 @@
+package scale
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"valvering.example/valvering/internal/lab/world"
+)
+
+// A client tells by the answer what became of its request, and keeps why the first was lost.
+func TestEndings(t *testing.T) {
+	c := small()
+	f := &fleet{Config: c, world: describe(&c), realLoad: newLoadBook()}
+	f.lender = &lender{model: latencyModel{f.world}, held: map[string]time.Duration{}}
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Request-Id")
+		switch f.realLoad.phase.asked {
+		case 0:
+			f.lender.held[id] = time.Microsecond
+			_, _ = w.Write([]byte(loanOf(id)))
+		case 1:
+			_, _ = w.Write([]byte(loanOf(id))) // never at a lending server
+		case 2:
+			_, _ = w.Write([]byte("something else"))
+		case 3:
+			w.WriteHeader(http.StatusTooManyRequests)
+		case 4:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 5:
+			w.WriteHeader(http.StatusGatewayTimeout)
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}
+	srv := httptest.NewServer(http.HandlerFunc(answer))
+	defer srv.Close()
+	f.clients = newClients(f)
+	base := strings.TrimPrefix(srv.URL, "http://")
+	person := &world.Person{Key: "00000000000000ff", Spread: 1}
+	for range 7 {
+		how, err := f.clients.do(t.Context(), base, "0123456789abcdef", &f.world.Classes[0], person, 1)
+		f.clients.close("0123456789abcdef", how, err, unixNow())
+		f.realLoad.phase.asked++
+	}
+	got := f.realLoad.takePhase()
+	want := [endings]int{endServed: 1, endRefused: 2, endFailed: 1, endLost: 3}
+	if got.ends != want || got.lostWhy != errForeign || got.added.TotalCount() != 1 {
+		t.Errorf("%v, want %v; lost: %v", got.ends, want, got.lostWhy)
+	}
+}
--- a/internal/lab/scale/load.go
+++ b/internal/lab/scale/load.go
@@ -79,6 +79,7 @@
 	asked, late          int
 	handledLate, starved int
 	ends                 [endings]int
+	lostWhy              error                   // of the first that was lost
 	added                *hdrhistogram.Histogram // microseconds
 }
 
@@ -123,6 +124,15 @@
 	}
 }
 
+// lost notes why a request was lost, where it is the first.
+func (b *loadBook) lost(why error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.phase.lostWhy == nil {
+		b.phase.lostWhy = why
+	}
+}
+
 // takePhase returns what came since the last call.
 func (b *loadBook) takePhase() loadCount {
 	b.mu.Lock()
--- a/internal/lab/scale/result.go
+++ b/internal/lab/scale/result.go
@@ -92,14 +92,15 @@
 
 // Requests are those of the load, of all edge nodes of a sort.
 type Requests struct {
-	Asked       int `json:"asked"`
-	Late        int `json:"late"`         // made over 50 ms after their time
-	HandledLate int `json:"handled_late"` // waited over 50 ms for a hollow edge node's loop,
-	Starved     int `json:"starved"`      // and over 50 ms of that for the machine
-	Served      int `json:"served"`
-	Refused     int `json:"refused"`
-	Failed      int `json:"failed"`
-	Lost        int `json:"lost"`
+	Asked       int    `json:"asked"`
+	Late        int    `json:"late"`         // made over 50 ms after their time
+	HandledLate int    `json:"handled_late"` // waited over 50 ms for a hollow edge node's loop,
+	Starved     int    `json:"starved"`      // and over 50 ms of that for the machine
+	Served      int    `json:"served"`
+	Refused     int    `json:"refused"`
+	Failed      int    `json:"failed"`
+	Lost        int    `json:"lost"`
+	LostWhy     string `json:"lost_why,omitempty"` // of the first
 }
 
 // Added is the time that requests took over what the server took, in milliseconds.
@@ -345,6 +346,9 @@
 	c := &f.measured.loadCounts[sort]
 	g.Requests = Requests{Asked: c.asked, Late: c.late, HandledLate: c.handledLate, Starved: c.starved, Served: c.ends[endServed], Refused: c.ends[endRefused],
 		Failed: c.ends[endFailed], Lost: c.ends[endLost]}
+	if c.lostWhy != nil {
+		g.Requests.LostWhy = c.lostWhy.Error()
+	}
 	g.Added = addedOf(c)
 	g.ZoneAdded = addedOf(&f.measured.zoneCounts[sort])
 }
