--- a/internal/lab/scale/clients_test.go
+++ b/internal/lab/scale/clients_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,11 +16,14 @@
 	c := small()
 	f := &fleet{Config: c, world: describe(&c), realLoad: newLoadBook()}
 	f.lender = &lender{model: latencyModel{f.world}, held: map[string]time.Duration{}}
+	var asked atomic.Int64
 	answer := func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get("X-Request-Id")
-		switch f.realLoad.phase.asked {
+		switch asked.Load() {
 		case 0:
+			f.lender.mu.Lock()
 			f.lender.held[id] = time.Microsecond
+			f.lender.mu.Unlock()
 			_, _ = w.Write([]byte(loanOf(id)))
 		case 1:
 			_, _ = w.Write([]byte(loanOf(id))) // never at a lending server
@@ -43,7 +47,7 @@
 	for range 7 {
 		how, err := f.clients.do(t.Context(), base, "0123456789abcdef", &f.world.Classes[0], person, 1)
 		f.clients.close("0123456789abcdef", how, err, unixNow())
-		f.realLoad.phase.asked++
+		asked.Add(1)
 	}
 	got := f.realLoad.takePhase()
 	want := [endings]int{endServed: 1, endRefused: 2, endFailed: 1, endLost: 3}
