--- a/cmd/valvering/measure_test.go
+++ b/cmd/valvering/measure_test.go
@@ -250,7 +250,7 @@
 	}
 	st := &snapshot.State{Taken: snapshot.Now(), Clean: true, List: &roster.List{Rev: 7, All: true},
 		Current: config.Kept{Number: 1, Digest: config.DigestOf(raw), Time: time.Now(), Raw: raw},
-		Memory:  policy.Memory{Stores: map[uint64]float64{}}}
+		Memory:  policy.Memory{Tokens: map[uint64]float64{}}}
 	for i := range measuredServers {
 		uid := fmt.Sprintf("s-%08x", i+1)
 		st.List.Targets = append(st.List.Targets, roster.Target{UID: uid, Endpoint: m.server.Listener.Addr().String(),
@@ -259,7 +259,7 @@
 			Faults: []policy.FaultMemory{{Class: "katalog", Errs: 0.1}}})
 	}
 	for i := range measuredCustomers {
-		st.Memory.Stores[uint64(i)] = float64(i % 5000)
+		st.Memory.Tokens[uint64(i)] = float64(i % 5000)
 	}
 	store, _ := snapshot.Open(dir, "n0")
 	n, err := store.Write(st)
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -341,7 +341,7 @@
 	p.need(s.Resolution > 0, "settings.tick_ms", "not above 0")
 	p.need(s.Gateways >= 1 && s.Gateways <= mostGateways, "settings.balancers", "%d is not from 1 to %d", s.Gateways, mostGateways)
 	p.need(s.Me >= 0 && s.Me < max(1, s.Gateways), "settings.me", "%d is not from 0 to below balancers", s.Me)
-	p.need(s.MailPerSecond >= 0, "settings.family_info.mail_per_s", "negative")
+	p.need(s.DatagramsPerSecond >= 0, "settings.family_info.mail_per_s", "negative")
 	p.need(s.LargestUnits >= 0 && s.LargestUnits <= math.MaxUint16, "settings.family_info.largest", "%g is out of range", s.LargestUnits)
 	p.need(s.MaxAttempts >= 0, "settings.caps.max_attempts", "negative")
 	p.need(s.ColdShare >= 0 && s.ColdShare <= 1, "settings.rules.cold_share", "%g is not from 0 to 1", s.ColdShare)
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -243,7 +243,7 @@
 	same(s.Resolution == t.Resolution, "settings.tick_ms", s.Resolution, t.Resolution)
 	same(s.MustAsk == t.MustAsk, "settings.discovery", s.MustAsk, t.MustAsk)
 	same(s.CanTell == t.CanTell, "settings.caps.peers", s.CanTell, t.CanTell)
-	same(s.MailPerSecond == t.MailPerSecond, "settings.family_info.mail_per_s", s.MailPerSecond, t.MailPerSecond)
+	same(s.DatagramsPerSecond == t.DatagramsPerSecond, "settings.family_info.mail_per_s", s.DatagramsPerSecond, t.DatagramsPerSecond)
 	same(slices.Equal(s.ReportNames, t.ReportNames), "settings.report.names", s.ReportNames, t.ReportNames)
 	return out
 }
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -95,8 +95,8 @@
 		delete(p.open, ev.ID)
 	case policy.Members:
 		p.members(ev)
-	case policy.Leave:
-		p.out = append(p.out, policy.Left{})
+	case policy.Shutdown:
+		p.out = append(p.out, policy.ShutdownDone{})
 	}
 	return p.out
 }
--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -87,8 +87,8 @@
 
 // Handle asks the program. After an error it is silent.
 func (n *instance) Handle(now time.Duration, ev policy.Event, out []policy.Action) []policy.Action {
-	if _, leaves := ev.(policy.Leave); leaves { // not on this wire
-		return append(out, policy.Left{})
+	if _, leaves := ev.(policy.Shutdown); leaves { // not on this wire
+		return append(out, policy.ShutdownDone{})
 	}
 	if n.h.err != nil {
 		return out
--- a/internal/lab/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -129,7 +129,7 @@
 		n.post(a, because)
 	case policy.Watch:
 		s.call(n)
-	case policy.Left:
+	case policy.ShutdownDone:
 		n.end()
 	}
 }
@@ -270,7 +270,7 @@
 					n.end()
 				}
 			})
-			n.handle(policy.Leave{})
+			n.handle(policy.Shutdown{})
 		}
 	}
 	s.after(leaveFor, finish)
--- a/internal/lab/sweep/settings.go
+++ b/internal/lab/sweep/settings.go
@@ -35,7 +35,7 @@
 // settings are those of one edge node of a fleet.
 func settings(me, nodes int) policy.Settings {
 	return policy.Settings{Me: me, Gateways: nodes, Zone: zone(me), Resolution: 2 * time.Millisecond, MaxAttempts: 6,
-		CanCancel: true, CanTell: true, MailPerSecond: datagramsPerSecond, LargestUnits: 3, MaxRetryAfter: time.Second,
+		CanCancel: true, CanTell: true, DatagramsPerSecond: datagramsPerSecond, LargestUnits: 3, MaxRetryAfter: time.Second,
 		Classes: []policy.Class{
 			{Name: class, Aim: 300 * time.Millisecond, Deadline: time.Second},
 			{Name: "lend", Aim: 1200 * time.Millisecond, Deadline: 5 * time.Second, Effect: policy.Keyed, Window: 5 * time.Second},
--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -77,7 +77,7 @@
 func unjudged(s policy.ServerMemory) bool { return s.Slow == 1 && s.Pace == 1 && len(s.Faults) == 0 }
 
 // restore gives the loop what was kept, before anything else comes, and tells
-// whether the list is as good as discovery's. The stores of a planned stop count
+// whether the list is as good as discovery's. The token buckets of a planned stop count
 // once a snapshot without them is in place: a crash from now on must not find them
 // again.
 func (n *Node) restore(kept *Kept) (fresh bool) {
@@ -99,8 +99,8 @@
 			event.Servers = old.Memory.Servers
 		}
 		event.Clean = old.Clean && found.Complete
-		event.Stores = old.Memory.Stores
-		slog.Info("snapshot found", "sequence", old.Sequence, "age", age.Round(time.Millisecond), "stores", len(event.Stores),
+		event.Tokens = old.Memory.Tokens
+		slog.Info("snapshot found", "sequence", old.Sequence, "age", age.Round(time.Millisecond), "stores", len(event.Tokens),
 			"servers", len(event.Servers), "planned stop", event.Clean, "list", fresh)
 	}
 	st := n.status.Load()
--- a/internal/node/keep_test.go
+++ b/internal/node/keep_test.go
@@ -79,7 +79,7 @@
 	planned(n, letGo)
 
 	k, close := kept(t, path)
-	if st := k.Found.State; st == nil || !st.Clean || !k.Found.Complete || len(st.Memory.Stores) != 1 {
+	if st := k.Found.State; st == nil || !st.Clean || !k.Found.Complete || len(st.Memory.Tokens) != 1 {
 		t.Fatalf("%+v after a planned stop", k.Found)
 	}
 	close()
@@ -155,7 +155,7 @@
 	g := newRegistry(t, serving("s-00000001", a.addr()))
 	store, _ := snapshot.Open(snapshotsAt(t.TempDir()), "n0")
 	found := snapshot.Found{Complete: true, State: &snapshot.State{Clean: true, Taken: snapshot.Now(),
-		Memory: policy.Memory{Stores: map[uint64]float64{}}}}
+		Memory: policy.Memory{Tokens: map[uint64]float64{}}}}
 	n := startFrom(t, fileConfig(t, g.addr, "", ratedSettings()), &Kept{store, found})
 	other := request(n.url, "loan", patience)
 	other.Header.Set("Cookie", "key=0000000000000007")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -76,10 +76,10 @@
 	done chan struct{}
 }
 
-// leave has the module hand on what others count on, and then ends the loop: nothing
+// shutdown has the module hand on what others count on, and then ends the loop: nothing
 // is let in behind what it tells and keeps. It ends at once for one that may not
 // wait.
-type leave struct{ now bool }
+type shutdown struct{ now bool }
 
 // giveUp has what waits answered at once from now on, or no longer: it may be
 // asked for elsewhere.
@@ -98,21 +98,21 @@
 	onApply func(gen *config.Generation) // puts its limits in force elsewhere
 	reread  func(c *call) error          // reads a request anew, by the generation in force
 
-	hasty  bool          // a planned stop was hastened
-	ended  bool          // nothing more is to be said or kept
-	keep   *keeper       // nil: no snapshots are kept
-	over   chan struct{} // closed when run has ended
-	events chan any
-	nextID policy.RequestID
-	calls  map[policy.RequestID]*call
-	names  map[string]*call // the same by the clients' ids
-	pulse  pulse
-	left   leavers
-	timers timerHeap
-	timer  *time.Timer
-	wake   time.Duration // when the timer is set for; 0: it is not
-	queue  []policy.Event
-	acts   []policy.Action
+	hasty     bool          // a planned stop was hastened
+	ended     bool          // nothing more is to be said or kept
+	keep      *keeper       // nil: no snapshots are kept
+	over      chan struct{} // closed when run has ended
+	events    chan any
+	nextID    policy.RequestID
+	calls     map[policy.RequestID]*call
+	names     map[string]*call // the same by the clients' ids
+	pulse     pulse
+	leftEarly leavers
+	timers    timerHeap
+	timer     *time.Timer
+	wake      time.Duration // when the timer is set for; 0: it is not
+	queue     []policy.Event
+	acts      []policy.Action
 }
 
 func newLoop(c clock, g *policy.Gateway, up *upstream) *loop {
@@ -192,9 +192,9 @@
 		l.apply(ev)
 	case policy.Restore:
 		l.decide(ev)
-	case leave:
+	case shutdown:
 		if l.ended = l.ended || ev.now; !ev.now {
-			l.decide(policy.Leave{})
+			l.decide(policy.Shutdown{})
 		}
 	case giveUp:
 		l.hasty = bool(ev)
@@ -258,9 +258,9 @@
 	switch {
 	case o.a.num > 0:
 	case o.a.left:
-		l.left.writing.Add(1)
+		l.leftEarly.writing.Add(1)
 	case o.a.unseen:
-		l.left.hidden.Add(1)
+		l.leftEarly.hidden.Add(1)
 	}
 	if c.ranAt == 0 && !o.code.NeverRan() {
 		c.ranAt = o.a.sent
@@ -296,12 +296,12 @@
 		}
 		if c.out == nil {
 			if c.attempts == 0 {
-				l.left.held.Add(1)
+				l.leftEarly.held.Add(1)
 			}
 			l.answer(c, command{})
 		} else {
 			if c.out.withdraw() && c.out.num == 0 {
-				l.left.dialing.Add(1)
+				l.leftEarly.dialing.Add(1)
 			}
 			l.forget(c)
 			c.final = &command{}
@@ -413,7 +413,7 @@
 		}
 	case policy.Watch:
 		// The list is watched from the start, asked for or not.
-	case policy.Left:
+	case policy.ShutdownDone:
 		l.ended = true
 	case policy.Log:
 		slog.Info(a.Text)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,12 +150,12 @@
 	if err := n.serve(term); err != nil {
 		return err
 	}
-	n.loop.post(leave{})
+	n.loop.post(shutdown{})
 	select {
 	case <-n.loop.over:
 	case <-time.After(stopHand):
 		slog.Warn("counts not handed on in time")
-		n.loop.post(leave{now: true})
+		n.loop.post(shutdown{now: true})
 		<-n.loop.over
 	}
 	if n.duties != nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -47,7 +47,7 @@
 	s.Ready, s.Phase = n.server.ready.Load() && p == phaseServing, p.String()
 	s.Lag, s.MostLag = n.loop.pulse.lag(n.loop.clock.now())
 	s.Looks = n.loop.pulse.looks.Load()
-	left := &n.loop.left
+	left := &n.loop.leftEarly
 	s.Leavers = Leavers{left.held.Load(), left.dialing.Load(), left.writing.Load(), left.hidden.Load()}
 	if n.duties != nil {
 		s.Duties = n.duties.status()
--- a/internal/snapshot/codec.go
+++ b/internal/snapshot/codec.go
@@ -105,9 +105,9 @@
 		}
 		w.section(sectionLeft, func() { w.text(s.Left) })
 		w.section(sectionServers, func() { w.servers(s.Memory.Servers) })
-		if s.Memory.Stores != nil {
+		if s.Memory.Tokens != nil {
 			w.section(sectionStores, func() {
-				for key, v := range s.Memory.Stores {
+				for key, v := range s.Memory.Tokens {
 					w.u64(key)
 					w.f64(v)
 				}
@@ -245,13 +245,13 @@
 			s.Memory.Servers = append(s.Memory.Servers, r.server())
 		}
 	case sectionStores:
-		s.Memory.Stores = make(map[uint64]float64, len(r.b)/16)
+		s.Memory.Tokens = make(map[uint64]float64, len(r.b)/16)
 		for len(r.b) > 0 && !r.bad {
 			key, v := r.u64(), r.f64()
 			if !(v >= 0) { // nor NaN
 				return false
 			}
-			s.Memory.Stores[key] = v
+			s.Memory.Tokens[key] = v
 		}
 	default:
 		return true
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -35,7 +35,7 @@
 			Servers: []policy.ServerMemory{
 				{ID: 1, HasStart: true, Start: 5, Slow: 1.5, Pace: 2, Faults: []policy.FaultMemory{{Class: "loan", Errs: 0.5, Bad: time.Second}}},
 				{ID: 2, Slow: 1, Pace: 1}},
-			Stores: map[uint64]float64{7: 1.25, 1 << 60: 0}}}
+			Tokens: map[uint64]float64{7: 1.25, 1 << 60: 0}}}
 }
 
 func encoded(t testing.TB, s *State) []byte {
@@ -131,7 +131,7 @@
 		binary.BigEndian.PutUint32(c[i:], math.MaxUint32)
 		if s, err := Decode(sealed(c), "n3"); err != nil {
 			refused++
-		} else if len(s.Memory.Servers) > 100 || len(s.Memory.Stores) > 100 {
+		} else if len(s.Memory.Servers) > 100 || len(s.Memory.Tokens) > 100 {
 			t.Fatalf("claim at %d believed", i)
 		}
 	}
@@ -159,7 +159,7 @@
 				continue
 			}
 			again, err := Decode(encoded(t, s), "n3")
-			if err != nil || again.Sequence != s.Sequence || len(again.Memory.Stores) != len(s.Memory.Stores) {
+			if err != nil || again.Sequence != s.Sequence || len(again.Memory.Tokens) != len(s.Memory.Tokens) {
 				t.Fatalf("read once, not twice: %v", err)
 			}
 		}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -87,7 +87,7 @@
 		Me: f.int("me"), Gateways: f.int("balancers"), Zone: f.m["zone"],
 		Resolution: f.ms("tick_ms"), MaxAttempts: f.int("caps.max_attempts"),
 		CanCancel: f.bool("caps.cancel"), CanTell: f.bool("caps.peers"),
-		MailPerSecond: f.num("family_info.mail_per_s"), LargestUnits: f.num("family_info.largest"),
+		DatagramsPerSecond: f.num("family_info.mail_per_s"), LargestUnits: f.num("family_info.largest"),
 		MustAsk:       f.m["discovery"] == "ask",
 		SizeKnown:     f.m["weight_kind"] == "nominal" || f.m["weight_kind"] == "rough",
 		CrossZoneCost: f.num("charges.cross_zone"),
--- a/policy/api.go
+++ b/policy/api.go
@@ -59,17 +59,17 @@
 	Classes  []Class
 	Plans    []Plan
 
-	Resolution    time.Duration // least time between two events in sequence
-	MaxAttempts   int           // attempts allowed for one request; 0: any number
-	CanCancel     bool          // Cancel is permitted
-	CanTell       bool          // Tell is permitted
-	MailPerSecond float64       // peer messages a gateway takes in a second
-	LargestUnits  float64       // most units of one request
-	MaxRetryAfter time.Duration // longest advice clients heed; 0: no advice
-	MustAsk       bool          // server changes come only to those that Watch
-	SizeKnown     bool          // Server.Weight is the size of the machine
-	CrossZoneCost float64       // charge for an attempt that crosses zones
-	ReportNames   []string      // names of the values in Load
+	Resolution         time.Duration // least time between two events in sequence
+	MaxAttempts        int           // attempts allowed for one request; 0: any number
+	CanCancel          bool          // Cancel is permitted
+	CanTell            bool          // Tell is permitted
+	DatagramsPerSecond float64       // peer messages a gateway takes in a second
+	LargestUnits       float64       // most units of one request
+	MaxRetryAfter      time.Duration // longest advice clients heed; 0: no advice
+	MustAsk            bool          // server changes come only to those that Watch
+	SizeKnown          bool          // Server.Weight is the size of the machine
+	CrossZoneCost      float64       // charge for an attempt that crosses zones
+	ReportNames        []string      // names of the values in Load
 
 	AnswerSlack  time.Duration // final answers are in time this long after a deadline
 	ColdShare    float64       // a starting server has at least this share of its capacity
@@ -188,11 +188,11 @@
 }
 
 // Reconfigure puts new settings in force. Me, Gateways, Zone, Resolution,
-// CanTell, MustAsk and MailPerSecond must be as they were.
+// CanTell, MustAsk and DatagramsPerSecond must be as they were.
 type Reconfigure struct{ Settings Settings }
 
-// Leave tells that this gateway is to end; it answers with Left.
-type Leave struct{}
+// Shutdown tells that this gateway is to end; it answers with ShutdownDone.
+type Shutdown struct{}
 
 // Action is something a gateway wants done.
 type Action interface{ action() }
@@ -234,8 +234,8 @@
 // Watch asks for the server list and its changes from now on.
 type Watch struct{}
 
-// Left tells that a gateway that was told to leave has nothing more to say.
-type Left struct{}
+// ShutdownDone tells that a gateway that was told to end has nothing more to say.
+type ShutdownDone struct{}
 
 // Log writes a line for the operators.
 type Log struct{ Text string }
@@ -249,14 +249,14 @@
 func (Members) event()     {}
 func (Reconfigure) event() {}
 func (Restore) event()     {}
-func (Leave) event()       {}
-
-func (Send) action()     {}
-func (Cancel) action()   {}
-func (Refuse) action()   {}
-func (Fail) action()     {}
-func (SetTimer) action() {}
-func (Tell) action()     {}
-func (Watch) action()    {}
-func (Log) action()      {}
-func (Left) action()     {}
+func (Shutdown) event()    {}
+
+func (Send) action()         {}
+func (Cancel) action()       {}
+func (Refuse) action()       {}
+func (Fail) action()         {}
+func (SetTimer) action()     {}
+func (Tell) action()         {}
+func (Watch) action()        {}
+func (Log) action()          {}
+func (ShutdownDone) action() {}
--- a/policy/cold_fleet_test.go
+++ b/policy/cold_fleet_test.go
@@ -231,7 +231,7 @@
 			t.Run(fmt.Sprintf("%d cores, %d gateways", server.cores, gateways), func(t *testing.T) {
 				for seed := range uint64(5) {
 					set := base()
-					set.MailPerSecond = 100
+					set.DatagramsPerSecond = 100
 					set.FallMultiple, set.FallTime = server.multiple, server.within
 					f := newBurstFleet(t, gateways, server.cores, set, seed+1)
 					f.play()
--- a/policy/events.go
+++ b/policy/events.go
@@ -40,7 +40,7 @@
 		g.reconfigure(ev.Settings)
 	case Restore:
 		g.restore(ev)
-	case Leave:
+	case Shutdown:
 		g.onLeaving()
 	}
 	out, g.acts = g.acts, nil
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -212,7 +212,7 @@
 		g.endsAgain()
 		g.report() // the last units passed here
 		g.do(Tell{To: -1, Data: encode(departure{g.inc})})
-		g.do(Left{})
+		g.do(ShutdownDone{})
 	}
 }
 
--- a/policy/handover_test.go
+++ b/policy/handover_test.go
@@ -198,7 +198,7 @@
 	for seed := range uint64(12) {
 		r := newRelay(t, seed, float64(seed%2)*0.1)
 		first := len(r.sends) - len(r.customers)
-		r.do(r.leaver, Leave{})
+		r.do(r.leaver, Shutdown{})
 		for n := range r.customers { // one in each hundredth of a second
 			s := r.sends[first+n]
 			r.do(r.from[first+n], Outcome{ID: s.ID, Server: s.Server, Code: OK, Latency: 50 * ms, Over: true})
@@ -419,7 +419,7 @@
 		second("busy", busy)
 		clear(w.got)
 		for n := range 30 {
-			w.do(n*10, Leave{})
+			w.do(n*10, Shutdown{})
 		}
 		w.pass(time.Second, busy)
 		all := slices.Sorted(slices.Values(w.got))
--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -106,7 +106,7 @@
 
 // leave has a gateway leave, until it has told so.
 func (c *cluster) leave(i int) {
-	c.do(i, Leave{})
+	c.do(i, Shutdown{})
 	for range 300 {
 		if c.gs[i].told {
 			return
@@ -127,12 +127,12 @@
 func TestReportsFitTheMail(t *testing.T) {
 	for n := 2; n <= 300; n++ {
 		s := base()
-		s.Gateways, s.MailPerSecond = n, 100
+		s.Gateways, s.DatagramsPerSecond = n, 100
 		g, err := New(s, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if told := float64(n-1) / g.tick.Seconds(); !g.tree && told > 1.001*reportShare*s.MailPerSecond {
+		if told := float64(n-1) / g.tick.Seconds(); !g.tree && told > 1.001*reportShare*s.DatagramsPerSecond {
 			t.Errorf("%d gateways: %.0f reports a second to each", n, told)
 		}
 		if tree := n > 13; g.tree != tree {
@@ -624,7 +624,7 @@
 	if out, _ := w.g.others(w.g.customers[keyOf("c")]); out != 1 {
 		t.Errorf("%v out at its next process", out)
 	}
-	if tells := of[Tell](w.do(Leave{})); len(tells) != 2 || tells[0].To != 1 || tells[1].To != -1 {
+	if tells := of[Tell](w.do(Shutdown{})); len(tells) != 2 || tells[0].To != 1 || tells[1].To != -1 {
 		t.Errorf("%v, want a last report and the word to all", tells)
 	}
 }
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -10,7 +10,7 @@
 // Memory is what is worth keeping of a gateway's state.
 type Memory struct {
 	Servers []ServerMemory
-	Stores  map[uint64]float64 // units, by customer, of those that are not full
+	Tokens  map[uint64]float64 // units, by customer, of those that are not full
 }
 
 // ServerMemory is what is known of a process of a server.
@@ -60,10 +60,10 @@
 		return m
 	}
 	g.now = max(g.now, now)
-	m.Stores = map[uint64]float64{}
+	m.Tokens = map[uint64]float64{}
 	for key, c := range g.customers {
 		if g.advance(c); c.plan.Rate > 0 && c.tokens < c.plan.Burst && (len(c.ask) == 0 || c.sums) {
-			m.Stores[key] = c.tokens
+			m.Tokens[key] = c.tokens
 		}
 	}
 	return m
@@ -74,7 +74,7 @@
 func (g *Gateway) restore(ev Restore) {
 	g.restored, g.clean, g.keptFor = true, ev.Clean, max(0, ev.Elapsed)
 	if ev.Clean {
-		g.kept = ev.Stores
+		g.kept = ev.Tokens
 	}
 	part := 1 - math.Exp(-g.keptFor.Seconds()/slowSpan.Seconds())
 	for _, k := range ev.Servers {
--- a/policy/memory_test.go
+++ b/policy/memory_test.go
@@ -112,7 +112,7 @@
 		want    int
 	}{{0, 4}, {200 * ms, 6}, {time.Hour, 10}, {-time.Hour, 4}} {
 		w := newWorld(t, s, fleet(8))
-		w.do(Restore{Memory: Memory{Stores: map[uint64]float64{keyOf("c"): 4}}, Elapsed: c.elapsed, Clean: true})
+		w.do(Restore{Memory: Memory{Tokens: map[uint64]float64{keyOf("c"): 4}}, Elapsed: c.elapsed, Clean: true})
 		if n := w.spend(20, "rate"); n != c.want {
 			t.Errorf("%d units at once after %v, want %d", n, c.elapsed, c.want)
 		}
@@ -188,18 +188,18 @@
 	before := fmt.Sprintf("%+v", m)
 	w.spend(3, "rate")
 	w.g.servers[2].by[0].errs = 1
-	if after := fmt.Sprintf("%+v", m); after != before || len(m.Stores) != 1 || len(m.Servers) != 3 {
+	if after := fmt.Sprintf("%+v", m); after != before || len(m.Tokens) != 1 || len(m.Servers) != 3 {
 		t.Errorf("%s\n%s", before, after)
 	}
-	if m := w.g.Memory(w.now, false); m.Stores != nil {
-		t.Errorf("%v", m.Stores)
+	if m := w.g.Memory(w.now, false); m.Tokens != nil {
+		t.Errorf("%v", m.Tokens)
 	}
 }
 
 // The token buckets that were kept are let go once they could tell nothing more.
 func TestKeptStoresAreLetGo(t *testing.T) {
 	w := newWorld(t, base(), fleet(3))
-	w.do(Restore{Memory: Memory{Stores: map[uint64]float64{1: 2}}, Clean: true})
+	w.do(Restore{Memory: Memory{Tokens: map[uint64]float64{1: 2}}, Clean: true})
 	w.pass(900 * ms)
 	if w.g.kept == nil {
 		t.Error("let go while a store may not be full")
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -106,7 +106,7 @@
 		c.mean = c.Aim.Seconds() / firstGuess
 		g.mean, g.minAim = max(g.mean, c.mean), min(g.minAim, c.Aim.Seconds())
 	}
-	mail := max(s.MailPerSecond*reportShare, 1)
+	mail := max(s.DatagramsPerSecond*reportShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
 	g.own, g.gate = learn, 1
 	if g.tree = g.tick > treeTick && s.CanTell; g.tree {
@@ -194,7 +194,7 @@
 			asks += c.plan.Rate // those that pass tell their ends too
 		}
 		asks /= max(1, g.set.LargestUnits/2)
-		k = min(max(1, int(math.Ceil(asks/max(1, g.set.MailPerSecond*rootShare)))), c.spread)
+		k = min(max(1, int(math.Ceil(asks/max(1, g.set.DatagramsPerSecond*rootShare)))), c.spread)
 	}
 	base, step := int(c.key>>33)%c.spread, max(1, c.spread/(k+1))
 	for i := range k + 1 {
@@ -1099,7 +1099,7 @@
 // and again what still keeps it out of use. Each goes to every gateway, so all
 // watchers together keep to a part of the datagrams.
 func (g *Gateway) tell(s *server) {
-	each := g.set.MailPerSecond * verdictShare / float64(max(1, len(g.fleet), g.list.len()))
+	each := g.set.DatagramsPerSecond * verdictShare / float64(max(1, len(g.fleet), g.list.len()))
 	s.verdicts = min(verdictKeep, s.verdicts+each*(g.now-s.verdictAt).Seconds())
 	s.verdictAt = g.now
 	first := g.judgeOf(s) == g.set.Me
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -24,7 +24,7 @@
 
 func base() Settings {
 	return Settings{Me: 0, Gateways: 2, Zone: "a", Resolution: 2 * ms, MaxAttempts: 5, CanCancel: true,
-		CanTell: true, MailPerSecond: 60, LargestUnits: 4, MaxRetryAfter: 500 * ms,
+		CanTell: true, DatagramsPerSecond: 60, LargestUnits: 4, MaxRetryAfter: 500 * ms,
 		Classes: []Class{
 			{Name: "safe", Aim: 800 * ms, Deadline: 3 * time.Second},
 			{Name: "cell", Aim: 800 * ms, Deadline: 3 * time.Second, Effect: Keyed, Group: GroupCell,
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -13,7 +13,7 @@
 	need(s.Resolution > 0, "Resolution: not above 0")
 	need(s.Gateways >= 1, "Gateways: below 1")
 	need(s.Me >= 0 && s.Me < max(s.Gateways, 1), "Me: outside 0 to Gateways-1")
-	need(s.MailPerSecond >= 0, "MailPerSecond: negative")
+	need(s.DatagramsPerSecond >= 0, "DatagramsPerSecond: negative")
 	need(len(s.Plans) > 0, "Plans: none")
 	need(len(s.Classes) > 0, "Classes: none")
 	for i, p := range s.Plans {
