--- a/policy/policy.go
+++ b/policy/policy.go
@@ -515,7 +515,7 @@
 // ejected (but for a trial), inside its group and window once it may have
 // run, and inside the budget of a cold server.
 func (g *Gateway) usable(s *server, r *request) bool {
-	if s.State != Running || g.now < s.fullAt[r.c.plan] || g.tree && g.now < s.unreachedTo ||
+	if s.State != Running || g.now < s.fullAt[r.c.plan] ||
 		r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
 		return false
 	}
@@ -610,25 +610,20 @@
 }
 
 // candidates are the servers that a large fleet's gateway draws from: those of its
-// working set that can be used. Where these are too few the set is doubled, step by
-// step. A repeat that its group alone may get goes to a part of that group. One that
-// is held draws anew at each tick and outcome, cold servers but once in the time in
-// which they may fall: draws bound their part of each, not how many there are.
+// working set that can be used. Where there are none the set is doubled, step by step.
+// A repeat that its group alone may get goes to a part of that group. One that is held
+// draws anew at each tick and outcome, cold servers but once in the time in which they
+// may fall: draws bound their part of each, not how many there are.
 func (g *Gateway) candidates(r *request) []*server {
-	fewest := (1 - mostOut) * g.setSize()
 	group, warm := g.groupOf(r), r.redrawn(g.now, g.set.FallTime)
-	if group != nil || warm {
-		fewest = 1
-	}
-	fewest = min(fewest, float64(g.live))
 	for steps := 0; ; steps++ {
 		list := g.working
 		if group != nil {
 			list = g.along(group, min(leastSet<<steps, group.len()))
 		}
 		ok, doubted := g.sortOut(list, r, warm)
-		if float64(len(ok)) >= fewest {
-			g.stillNeeded(ok, fewest)
+		if len(ok) > 0 {
+			g.stillNeeded(ok)
 			return ok
 		}
 		if group == nil && g.widen() || group != nil && len(list) < group.len() && steps < mostWidened {
@@ -689,15 +684,10 @@
 	return true
 }
 
-// stillNeeded notes that the working set has to be as wide as it is.
-func (g *Gateway) stillNeeded(ok []*server, fewest float64) {
-	inner := 0
-	for _, s := range ok {
-		if s.tier < g.widened {
-			inner++
-		}
-	}
-	if float64(inner) < fewest {
+// stillNeeded notes that the working set has to be as wide as it is: of a narrower
+// one none could be used.
+func (g *Gateway) stillNeeded(ok []*server) {
+	if !slices.ContainsFunc(ok, func(s *server) bool { return s.tier < g.widened }) {
 		g.narrowAt = g.now
 	}
 }
@@ -746,7 +736,6 @@
 	}
 	switch ev.Code {
 	case OK:
-		s.redial = 0
 		if v := g.record(s, r.cl); v != nil {
 			v.okAt = g.now
 		}
@@ -756,10 +745,6 @@
 		g.mean += learnMean * (r.cl.mean - g.mean)
 		r.cl.seen++ // the first outcomes count for more
 		r.cl.mean += max(learnMean, 1/(r.cl.seen+1)) * (min(lat, mostLatency*r.cl.mean) - r.cl.mean)
-	case ConnectFailed:
-		// In a large fleet others judge it, who may reach it, or not be heard.
-		s.redial = min(2*s.redial+trialEvery, trialMost)
-		s.unreachedTo = g.now + s.redial
 	case Full:
 		// It may turn away one plan only: this one goes elsewhere for a while.
 		s.fullAt[r.c.plan] = g.now + fullFor
--- a/policy/serverlist.go
+++ b/policy/serverlist.go
@@ -152,7 +152,6 @@
 	}
 	if m.HasStart && m.Start != s.Start {
 		s.slow, s.pace = 1, 1
-		s.unreachedTo, s.redial = 0, 0
 		clear(s.by)
 	}
 	gone := s.goneAt
--- a/policy/state.go
+++ b/policy/state.go
@@ -147,16 +147,14 @@
 
 type server struct {
 	Server
-	hash        uint16
-	out         int
-	slow        float64                  // latency against the fleet's, at equal load
-	heard       float64                  // attempts out there, as the peers last said
-	oldest      []*request               // attempts out, oldest first
-	goneAt      time.Duration            // when it left the list; 0: it is there
-	fullAt      map[*quota]time.Duration // until then it is taken to turn this plan away
-	sends       []time.Duration          // while cold: recent sends
-	unreachedTo time.Duration            // no connection came up here: until then others are tried
-	redial      time.Duration            // for how long, doubled each time
+	hash   uint16
+	out    int
+	slow   float64                  // latency against the fleet's, at equal load
+	heard  float64                  // attempts out there, as the peers last said
+	oldest []*request               // attempts out, oldest first
+	goneAt time.Duration            // when it left the list; 0: it is there
+	fullAt map[*quota]time.Duration // until then it is taken to turn this plan away
+	sends  []time.Duration          // while cold: recent sends
 
 	tier      int      // the first widening of the working set that has it; noTier: none
 	weight    float64  // in the draw at hand
@@ -609,7 +607,7 @@
 	if s.State == Removed {
 		return s.out == 0 && g.now-s.goneAt >= forgetAfter
 	}
-	if !g.tree || s.tier != noTier || s.out > 0 || g.now < s.unreachedTo {
+	if !g.tree || s.tier != noTier || s.out > 0 {
 		return false
 	}
 	for i := range s.by {
