--- a/policy/policy.go
+++ b/policy/policy.go
@@ -542,7 +542,7 @@
 	if g.tree {
 		return g.draw(g.candidates(r))
 	}
-	ok, doubted := g.sortOut(g.fleet, r, false)
+	ok, doubted := g.sortOut(g.fleet, r)
 	if tooMany(doubted, ok) {
 		ok = append(ok, doubted...)
 	}
@@ -588,11 +588,11 @@
 }
 
 // sortOut finds the servers that a request may go to, and those that it might but
-// for their being out of use for its class; of the warm ones alone if told so.
-func (g *Gateway) sortOut(list []*server, r *request, warm bool) (ok, doubted []*server) {
+// for their being out of use for its class.
+func (g *Gateway) sortOut(list []*server, r *request) (ok, doubted []*server) {
 	g.look(len(list))
 	for _, s := range list {
-		if s == r.last || !g.usable(s, r) || warm && g.coldness(s) < 1 {
+		if s == r.last || !g.usable(s, r) {
 			continue
 		}
 		if g.outOfUse(s, r.cl) {
@@ -611,17 +611,15 @@
 
 // candidates are the servers that a large fleet's gateway draws from: those of its
 // working set that can be used. Where there are none the set is doubled, step by step.
-// A repeat that its group alone may get goes to a part of that group. One that is held
-// draws anew at each tick and outcome, cold servers but once in the time in which they
-// may fall: draws bound their part of each, not how many there are.
+// A repeat that its group alone may get goes to a part of that group.
 func (g *Gateway) candidates(r *request) []*server {
-	group, warm := g.groupOf(r), r.redrawn(g.now, g.set.FallTime)
+	group := g.groupOf(r)
 	for steps := 0; ; steps++ {
 		list := g.working
 		if group != nil {
 			list = g.along(group, min(leastSet<<steps, group.len()))
 		}
-		ok, doubted := g.sortOut(list, r, warm)
+		ok, doubted := g.sortOut(list, r)
 		if len(ok) > 0 {
 			g.stillNeeded(ok)
 			return ok
--- a/policy/state.go
+++ b/policy/state.go
@@ -131,8 +131,7 @@
 	until    time.Duration // an answer is waited for until then
 	waits    bool          // held there
 	granted  bool
-	last     *server       // of the attempt before
-	drawnAt  time.Duration // when cold servers were last in its draw
+	last     *server // of the attempt before
 }
 
 type class struct {
@@ -585,16 +584,6 @@
 	}
 }
 
-// redrawn tells whether cold servers were in the request's draw within a time; if not,
-// they are from now on.
-func (r *request) redrawn(now, within time.Duration) bool {
-	if r.drawnAt > 0 && now-r.drawnAt < within {
-		return true
-	}
-	r.drawnAt = now
-	return false
-}
-
 // outOfUse tells whether a server is out of use for a class now.
 func (g *Gateway) outOfUse(s *server, cl *class) bool {
 	v := g.record(s, cl)
