--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,7 +85,7 @@
 	leastSet      = 20                    // servers that a gateway keeps to: enough to even out slow ones,
 	leastSets     = 8.0                   // but as many as have each server in so many gateways' sets
 	mostSet       = 128.0                 // up to this many
-	mostWidened   = 3                     // a set is doubled so often where too few of it can be used
+	mostWidened   = 3                     // a set is doubled so often where none of it can be used
 	narrowAfter   = 2 * time.Second       // and halved once that is not needed for so long
 	asGood        = 0.02                  // errors, and the log of a pace, that are as good as none
 
