See clients leave behind more than is read ahead, by the connection's state

What callers and servers saw: a client sent a request, more than 16 KiB behind it and closed its connection before the attempt began; the attempt was written for it all the same (sent_on_unseen).

Cause: the end of a connection shows to a read only behind the bytes ahead of it, and no more than 16 KiB of these are read before the answer.

Mend: where that bound is reached the connection's state is asked for. CLOSE_WAIT is set with the other end's close whatever is left to read, so that it holds for any amount that the system takes in. Reading on and dropping was ruled out: pipelined requests would be lost (TestSentAheadOfTheAnswer). Open: an end behind more than the receive buffer takes.

--- a/internal/node/ahead.go
+++ b/internal/node/ahead.go
@@ -9,9 +9,16 @@
 
 // mostAhead is how many bytes are read of what a client sends before it has its answer:
 // the largest head, for each connection that may be open. What is behind stays in the
-// system's buffer, and the end of a client that sends so much is seen with its answer.
+// system's buffer.
 const mostAhead = mostHead
 
+// States of a TCP connection in which its other end may still read, as Linux numbers them.
+const (
+	tcpEstablished = 1
+	tcpFinWait1    = 4 // this end has ended its sending
+	tcpFinWait2    = 5 // and the other end knows
+)
+
 // leavers counts requests by where their client was noticed to have gone before the first
 // attempt was written. None of these is sent on.
 type leavers struct {
@@ -66,7 +73,8 @@
 	return cc.Conn.Read(b)
 }
 
-// hidden tells whether so much was sent ahead that the client's end can't be seen.
+// hidden tells whether so much was sent ahead that the client's end may not be seen: the system
+// takes in only so many bytes that nobody reads, and the end comes behind all of them.
 func (cc *clientConn) hidden() bool {
 	cc.ahead.mu.Lock()
 	defer cc.ahead.mu.Unlock()
@@ -91,6 +99,7 @@
 	if err != nil {
 		return true
 	}
+	left := false
 	err = raw.Control(func(fd uintptr) {
 		var b [2 << 10]byte
 		for len(a.buf) < mostAhead {
@@ -107,6 +116,19 @@
 			}
 			a.buf = append(a.buf, b[:n]...)
 		}
+		left = endedBehind(int(fd))
 	})
-	return err != nil || a.end != nil
+	return err != nil || a.end != nil || left
+}
+
+// endedBehind tells whether the other end has closed the connection or ended its sending behind
+// bytes that nobody has read yet: they hide it from a read, but the connection's state shows it.
+// It is false where the system doesn't tell, or has not got all of the bytes.
+func endedBehind(fd int) bool {
+	info, err := syscall.GetsockoptInet4Addr(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO) // its first four bytes
+	if err != nil {
+		return false
+	}
+	state := info[0]
+	return state != tcpEstablished && state != tcpFinWait1 && state != tcpFinWait2
 }
--- /dev/null
+++ b/internal/node/sent_ahead_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"bytes"
+	"net/http"
+	"testing"
+
+	"valvering.example/valvering/internal/testkit"
+)
+
+// A client sends a request, much more behind it, and closes its connection before the
+// request's attempt has begun. An edge node reads no more than mostAhead bytes before the
+// answer, so the end of the connection never came up, and the attempt was written for a client
+// that had gone: /status counted it under sent_on_unseen, and the app server saw the request. The
+// system knows of the end all the same: the connection is in the state CLOSE_WAIT then,
+// whatever is left to read.
+func TestClientLeavesBehindMoreThanIsReadAhead(t *testing.T) {
+	for _, bytesAhead := range []int{mostAhead - 1, mostAhead, mostAhead + 1, 2 * mostAhead} {
+		a := newApp(t, answer("200 OK", "", "hits"))
+		n := nodeWith(t, a.addr())
+		begun, let := holdDials(n.up)
+		c := dial(t, n)
+		send(t, c, request(n.url, "loan", patience))
+		<-begun
+		if _, err := c.Write(bytes.Repeat([]byte("x"), bytesAhead)); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+		n.looks(t)
+		let <- struct{}{}
+		n.idle(t)
+		if left := n.Status().Leavers; a.seen.Load() != 0 || left != (Leavers{Dialing: 1}) {
+			t.Errorf("%d bytes ahead: sent on %d times for a client that had gone, %+v", bytesAhead, a.seen.Load(), left)
+		}
+		n.stop()
+		if err := <-n.done; err != nil {
+			t.Error(err)
+		}
+		http.DefaultClient.CloseIdleConnections()
+	}
+}
+
+// One that sent as much and stays gets its answer.
+func TestClientStaysBehindMoreThanIsReadAhead(t *testing.T) {
+	a, let := held(t)
+	n := nodeWith(t, a.addr())
+	c := dial(t, n)
+	answered := send(t, c, request(n.url, "loan", patience))
+	testkit.Eventually(t, "the request at the app server", func() bool { return a.seen.Load() == 1 })
+	if _, err := c.Write(bytes.Repeat([]byte("x"), 2*mostAhead)); err != nil {
+		t.Fatal(err)
+	}
+	n.looks(t)
+	let()
+	if resp := answered(); resp.StatusCode != http.StatusOK {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+	if left := n.Status().Leavers; left != (Leavers{}) {
+		t.Errorf("taken for one that has gone: %+v", left)
+	}
+}
