Pass over empty lines ahead of a request, as HTTP/1.1 asks of servers

What callers saw: 400 for a request with an empty line ahead of it, and a 408 two seconds after an empty line that nothing followed.

Cause: the reader of heads took the empty line for a head without a start line.

Mend: up to four empty lines are passed over while a request is awaited, and the connection rests on behind them; more are turned away as before, so that nobody holds a connection by them.

--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -47,6 +47,15 @@
 	s.off = 0
 }
 
+// dropEmptyLine passes over an empty line if one comes next.
+func (s *stream) dropEmptyLine() bool {
+	empty := bytes.HasPrefix(s.buf[s.off:], []byte("\r\n"))
+	if empty {
+		s.off += 2
+	}
+	return empty
+}
+
 // more reads what comes next, at least a byte.
 func (s *stream) more() error {
 	if len(s.buf) == cap(s.buf) {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -18,14 +18,15 @@
 )
 
 const (
-	firstRequest = 2 * time.Second  // from the connect to the end of the first request
-	wholeRequest = 2 * time.Second  // from a later request's first byte to its last
-	clientIdle   = 10 * time.Second // between requests
-	writeTimeout = 5 * time.Second
-	acceptPause  = 5 * time.Millisecond // after an error, doubled with each that follows
-	acceptMost   = time.Second
-	mostBad      = 3                      // requests in a row that can't be used, then the connection is closed
-	badPause     = 100 * time.Millisecond // before the next is read: one client must not take the core from others
+	firstRequest   = 2 * time.Second  // from the connect to the end of the first request
+	wholeRequest   = 2 * time.Second  // from a later request's first byte to its last
+	clientIdle     = 10 * time.Second // between requests
+	writeTimeout   = 5 * time.Second
+	acceptPause    = 5 * time.Millisecond // after an error, doubled with each that follows
+	acceptMost     = time.Second
+	mostEmptyLines = 4                      // passed over ahead of a request
+	mostBad        = 3                      // requests in a row that can't be used, then the connection is closed
+	badPause       = 100 * time.Millisecond // before the next is read: one client must not take the core from others
 )
 
 // server is the clients' side: it reads their requests, hands them to the
@@ -270,7 +271,7 @@
 	whole := time.Duration(0) // the first request has its time from the connect on
 	for wait := firstRequest; ; wait, whole = clientIdle, wholeRequest {
 		cc.in.begin()
-		if cc.in.buffered() == 0 && (!s.become(cc, connIdle, wait) || cc.in.more() != nil) {
+		if !s.awaitRequest(cc, wait) {
 			return // idle for long, gone, or being closed
 		}
 		if !s.become(cc, connReading, whole) {
@@ -288,6 +289,22 @@
 	}
 }
 
+// awaitRequest waits for the first bytes of a request. Empty lines ahead of one are passed over,
+// as HTTP/1.1 asks of servers (RFC 9112, section 2.2): they begin none, so that a client may rest
+// behind them. What comes behind too many of them is left to be turned away.
+func (s *server) awaitRequest(cc *clientConn, wait time.Duration) bool {
+	for lines := 0; ; {
+		for ; lines < mostEmptyLines && cc.in.dropEmptyLine(); lines++ {
+		}
+		if cc.in.buffered() > 0 {
+			return true
+		}
+		if !s.become(cc, connIdle, wait) || cc.in.more() != nil {
+			return false
+		}
+	}
+}
+
 // read reads a whole request.
 func (cc *clientConn) read() error {
 	r := &cc.req
