Ask a wider set whether too many servers are out of use, not the last few of one's own

Cause: that over seven in ten servers out of use are used all the same was asked of an edge node's own set, and only once none of it was left. With most of the fleet out of use each edge node sent all it had to a few servers, which timed out by that (592 to 718 of some 2,200 choices a second among three or fewer).

Mend: from half of the set out of use on, a set eight times as large says whether it is so of the fleet. Cold servers beyond the own set are left out of it, so that their sum holds. Ruled out by trials: the set doubled under six usable (worse), one ring over all zones, a wider set only where none is left.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -85,8 +85,7 @@
 	leastSet      = 20                    // servers that a gateway keeps to: enough to even out slow ones,
 	leastSets     = 8.0                   // but as many as have each server in so many gateways' sets
 	mostSet       = 128.0                 // up to this many
-	mostWidened   = 3                     // a set is doubled so often where none of it can be used
-	narrowAfter   = 2 * time.Second       // and halved once that is not needed for so long
+	widerSet      = 8                     // times as many are looked at where half can't be used
 	asGood        = 0.02                  // errors, and the log of a pace, that are as good as none
 
 	letSpan, creditSpan       = 4 * time.Second, time.Second / 2 // of what roots let in; what of it at once
@@ -638,29 +637,36 @@
 	return float64(len(doubted)) > mostOut*float64(len(ok)+len(doubted))
 }
 
-// candidates are the servers that a large fleet's gateway draws from: those of its
-// working set that can be used. Where there are none the set is doubled, step by step.
+// candidates are the servers that a large fleet's gateway draws from: those of its working
+// set that can be used. Where half of them are out of use or none is left, a set several times as
+// large tells whether it is so of the fleet, and stands in where none is left. By its own set
+// alone a gateway would send all it has to the last few, which fail by that.
 // A repeat that its group alone may get goes to a part of that group.
 func (g *Gateway) candidates(r *request) []*server {
 	group := g.groupOf(r)
-	for steps := 0; ; steps++ {
-		list := g.working
-		if group != nil {
-			list = g.along(group, min(leastSet<<steps, group.len()))
-		}
-		ok, doubted := g.sortOut(list, r)
-		if len(ok) > 0 {
-			g.stillNeeded(ok)
-			return ok
-		}
-		if group == nil && g.widen() || group != nil && len(list) < group.len() && steps < mostWidened {
-			continue
-		}
-		if tooMany(doubted, ok) {
-			ok = append(ok, doubted...)
-		}
+	list := g.working
+	if group != nil {
+		list = g.along(group, min(leastSet, group.len()))
+	}
+	ok, doubted := g.sortOut(list, r)
+	if len(ok) > len(doubted) {
 		return ok
 	}
+	if group != nil {
+		list = g.along(group, min(leastSet*widerSet, group.len()))
+	} else {
+		list = g.widerRuns()
+	}
+	wideOK, wideDoubted := g.sortOut(list, r)
+	switch all := tooMany(wideDoubted, wideOK); {
+	case all && len(ok)+len(doubted) > 0:
+		return append(ok, doubted...)
+	case all:
+		return append(wideOK, wideDoubted...)
+	case len(ok) > 0:
+		return ok
+	}
+	return wideOK
 }
 
 // setSize is how many servers a gateway keeps to: enough to even out slow ones, and
@@ -682,50 +688,34 @@
 		return
 	}
 	for _, s := range g.working {
-		s.tier = noTier
+		s.kept = false
 	}
-	g.working = g.working[:0]
+	g.working = g.runs(1)
+	for _, s := range g.working {
+		s.kept = true
+	}
+}
+
+// runs returns a set that is so many times as large as the working set.
+func (g *Gateway) runs(times float64) (list []*server) {
 	for _, z := range g.list.zones {
 		n := z.running.len()
 		part := g.setSize() * float64(n) / float64(max(1, g.live))
 		first := g.position(z.offset) * float64(n)
-		for tier, next := 0, int(first); tier <= g.widened; tier++ {
-			for end := min(int(first+part*float64(int(1)<<tier)), int(first)+n); next < end; next++ {
-				s := g.meet(z.running.at(next % n))
-				s.tier, s.place = tier, fraction((float64(next)-first)/part)
-				g.working = append(g.working, s)
-			}
+		for next := int(first); next < min(int(first+part*times), int(first)+n); next++ {
+			s := g.meet(z.running.at(next % n))
+			s.place = fraction((float64(next) - first) / part)
+			list = append(list, s)
 		}
 	}
-	slices.SortFunc(g.working, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	return list
 }
 
-// widen doubles the working set; it is false where that is not to be.
-func (g *Gateway) widen() bool {
-	if g.widened == mostWidened || len(g.working) >= g.live {
-		return false
-	}
-	g.widened++
-	g.narrowAt = g.now
-	g.keepTo()
-	return true
-}
-
-// stillNeeded notes that the working set has to be as wide as it is: of a narrower
-// one none could be used.
-func (g *Gateway) stillNeeded(ok []*server) {
-	if !slices.ContainsFunc(ok, func(s *server) bool { return s.tier < g.widened }) {
-		g.narrowAt = g.now
-	}
-}
-
-// narrow halves a widened set once that has not been needed for a while.
-func (g *Gateway) narrow() {
-	if g.widened > 0 && g.now-g.narrowAt > narrowAfter {
-		g.widened--
-		g.narrowAt = g.now
-		g.keepTo()
-	}
+// widerRuns returns a set several times as large. Cold servers beyond the working set are left
+// out: they bear what those that keep to them send.
+func (g *Gateway) widerRuns() []*server {
+	return slices.DeleteFunc(g.runs(widerSet), func(s *server) bool { return !s.kept && g.coldness(s) < 1 })
 }
 
 // draw chooses a server by its share of the fleet's capacity. A large fleet's gateways don't
@@ -811,7 +801,6 @@
 	g.do(SetTimer{Token: "tick", After: g.tick})
 	if g.ticks%uint32(max(1, time.Second/g.tick)) == 0 {
 		g.watch()
-		g.narrow()
 		g.forget()
 	}
 	fade := math.Exp(-float64(dt) / float64(max(1, g.set.FallTime)))
--- a/policy/serverlist.go
+++ b/policy/serverlist.go
@@ -175,7 +175,7 @@
 	if !listed {
 		return nil
 	}
-	s := &server{Server: m, hash: uint16(serverHash(id) >> (32 - serverBits)), slow: 1, pace: 1, tier: noTier,
+	s := &server{Server: m, hash: uint16(serverHash(id) >> (32 - serverBits)), slow: 1, pace: 1,
 		verdicts: verdictKeep, verdictAt: g.now, by: make([]record, len(g.set.Classes)),
 		fullAt: map[*quota]time.Duration{}, watchers: g.watchers(id)}
 	s.place = g.position(float64(serverHash(id)) / (1 << 32))
--- a/policy/state.go
+++ b/policy/state.go
@@ -141,9 +141,6 @@
 	seen float64 // outcomes it rests on
 }
 
-// noTier is that of a server outside the working set.
-const noTier = -1
-
 type server struct {
 	Server
 	hash   uint16
@@ -156,7 +153,7 @@
 	sends  []time.Duration          // while cold: recent sends
 	place  float64                  // while cold: this gateway's among those that keep to it, from 0 to 1
 
-	tier      int      // the first widening of the working set that has it; noTier: none
+	kept      bool     // it is in the working set
 	weight    float64  // in the draw at hand
 	watchers  [2]int   // the gateways that judge it for all; the second only whether it can be reached
 	by        []record // by class
@@ -188,8 +185,6 @@
 	servers   map[ServerID]*server // those with state here: all in a small fleet
 	fleet     []*server            // the same, by ID
 	working   []*server            // those of them that a large fleet's gateway keeps to, by ID
-	widened   int                  // how often their number is doubled now
-	narrowAt  time.Duration        // when it was last needed so
 	onLook    func(servers int)    // counts servers that are looked at, in tests; nil: nobody
 	peers     []*peer
 	budget    float64
@@ -613,7 +608,7 @@
 	if s.State == Removed {
 		return s.out == 0 && g.now-s.goneAt >= forgetAfter
 	}
-	if !g.tree || s.tier != noTier || s.out > 0 {
+	if !g.tree || s.kept || s.out > 0 {
 		return false
 	}
 	for i := range s.by {
