--- a/cmd/valvering/idle_clients_test.go
+++ b/cmd/valvering/idle_clients_test.go
@@ -24,10 +24,10 @@
 	wg   sync.WaitGroup
 }
 
-func (s *service) fill(n int) *idleClients {
+func fillDescriptors(addr string, n int) *idleClients {
 	i := &idleClients{stop: make(chan struct{})}
 	for range n {
-		i.wg.Go(func() { i.hold(s.listen) })
+		i.wg.Go(func() { i.hold(addr) })
 	}
 	return i
 }
@@ -115,7 +115,7 @@
 					c.stop()
 					down()
 				}
-				idle := s.fill(3 * most)
+				idle := fillDescriptors(s.listen, 3*most)
 				s.says("discovery does not answer")
 				testkit.Eventually(t, "the clients' descriptors used up", func() bool { return s.descriptors() >= most/2 })
 				c := s.loadOf(&clients{deadline: 2000, lossy: true, crowded: true}, 2)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
 // Package policy decides for a gateway that keeps customers' quotas on a
 // shared API. Its interface (settings, events, actions) is in api.go; every
-// decision, table and tuned value is in this file and in gateway.go.
+// decision and its constants are in this file and in gateway.go.
 //
 // The mechanism is a distributed waiting room. Requests beyond a customer's
 // cap on attempts out wait in arrival order; gateways report to each other
@@ -16,20 +16,20 @@
 	"time"
 )
 
-// Tuned values: shares, counts of ticks, and times that people and networks set.
+// Shares are parts of one where no unit is given.
 const (
-	reportShare      = 0.75 // part of a gateway's intake of datagrams that reports may fill
+	reportShare      = 0.75 // of a gateway's intake of datagrams, for reports
 	minTick, maxTick = 25 * time.Millisecond, 250 * time.Millisecond
-	staleTicks       = 6    // a report older than this gives way to the demand split
-	leastWeight      = 0.33 // a silent peer's demand fades to this part of it
+	staleTicks       = 6    // ticks; an older report gives way to the demand split
+	leastWeight      = 0.33 // of a silent peer's demand, to which it fades
 	forgetAfter      = 10 * time.Second
 	demandSpan       = 2 * time.Second       // memory of the demand rates
 	blindExtra       = 25 * time.Millisecond // time a report travels
-	untold           = 0.01                  // what a tick untold adds to a place in the report
-	repeatTicks      = 3                     // a change is told in this many reports
+	untold           = 0.01                  // requests held that a tick untold weighs in a report
+	repeatTicks      = 3                     // ticks for which a change is told
 
-	evenRate, evenLeast    = 0.02, 0.05 // demand of each gateway taken for granted: of the rate, units
-	arriveSlack, freeSlack = 0.5, 0.25  // parts of a place that count as one, at arrival and later
+	evenRate, evenLeast    = 0.02, 0.05 // demand of each taken for granted: of the rate, units a second
+	arriveSlack, freeSlack = 0.5, 0.25  // of a place that counts as one, at arrival and later
 	jitter                 = 0.2        // spread of a prediction, so that none is left untried
 	mostLatency            = 4.0        // a latency counts for so many means at most
 	choices                = 4          // servers compared for an attempt
