Draw a soak's schedule apart from its clients and servers, so that a seed repeats it

The schedule, all clients and all servers drew from one source, so that a play of the same seed had other signals and trouble beside them. A server drains for half a second beyond its grace, else what is sent late would not be seen.

--- a/cmd/valvering/soak_clients_test.go
+++ b/cmd/valvering/soak_clients_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -25,12 +26,13 @@
 
 // soakClient sends requests to one node, without pause for as long as its connection stays open.
 type soakClient struct {
-	node  *soakNode
-	kind  clientKind
-	class string
-	plan  string
-	no    int
-	done  <-chan struct{}
+	node   *soakNode
+	kind   clientKind
+	class  string
+	plan   string
+	no     int
+	random *randomSource
+	done   <-chan struct{}
 
 	conn  net.Conn
 	in    *bufio.Reader
@@ -39,11 +41,12 @@
 
 // clientsOf starts the clients of a node.
 func (f *soakFleet) clientsOf(n *soakNode, done <-chan struct{}, group *sync.WaitGroup) {
+	first := clientStreams * uint64(1+slices.Index(f.nodes, n))
 	kinds := []clientKind{plainClient, plainClient, plainClient, plainClient, plainClient, plainClient,
 		leavingClient, leavingClient, haltingClient, pipelineClient}
 	for i, kind := range kinds {
 		c := &soakClient{node: n, kind: kind, class: []string{safeClass, keyedClass, onceClass}[i%3],
-			plan: []string{freePlan, ratePlan, ceilingPlan}[i/2%3], no: i, done: done}
+			plan: []string{freePlan, ratePlan, ceilingPlan}[i/2%3], no: i, random: newRandomSource(f.seed, first+uint64(i)), done: done}
 		group.Go(c.run)
 	}
 }
@@ -60,7 +63,7 @@
 			time.Sleep(5 * time.Millisecond) // the node is being restarted
 			continue
 		}
-		random := c.node.random
+		random := c.random
 		switch {
 		case c.kind == leavingClient && random.chance(2):
 			c.leave()
@@ -110,7 +113,7 @@
 	f.ids++
 	id = fmt.Sprintf("%s-%d-%d", c.node.name, c.no, f.ids)
 	f.mu.Unlock()
-	deadline := 300*time.Millisecond + c.node.random.upTo(longestDeadline-300*time.Millisecond)
+	deadline := 300*time.Millisecond + c.random.upTo(longestDeadline-300*time.Millisecond)
 	deadline = deadline.Truncate(time.Millisecond)
 	seen = &requestSeen{node: c.node.name, class: c.class, customer: c.customer(), deadline: deadline, first: c.first, crowded: f.crowded}
 	f.seen.mu.Lock()
@@ -221,7 +224,7 @@
 			r.outcome = neverTaken
 		}
 	})
-	time.Sleep(c.node.random.upTo(120 * time.Millisecond))
+	time.Sleep(c.random.upTo(120 * time.Millisecond))
 	c.hangUp()
 	c.mark([]*requestSeen{seen}, func(r *requestSeen) { r.left, r.done = time.Now(), time.Now() })
 }
--- a/cmd/valvering/soak_fleet_test.go
+++ b/cmd/valvering/soak_fleet_test.go
@@ -32,14 +32,15 @@
 	crowdSockets, plentySockets      = 64, 512
 )
 
-// randomSource is a seeded source that several goroutines draw from.
+// randomSource is a seeded source that several goroutines may draw from. The schedule of a play,
+// each client and each server have their own, so that none changes what another draws.
 type randomSource struct {
 	mu  sync.Mutex
 	rng *rand.Rand
 }
 
-func newRandomSource(seed uint64) *randomSource {
-	return &randomSource{rng: rand.New(rand.NewPCG(seed, 30))}
+func newRandomSource(seed, stream uint64) *randomSource {
+	return &randomSource{rng: rand.New(rand.NewPCG(seed, stream))}
 }
 
 func (r *randomSource) intN(n int) int {
@@ -66,19 +67,20 @@
 
 // soakServer is a lending server.
 type soakServer struct {
-	fleet *soakFleet
-	uid   string
-	ln    net.Listener
-	mode  atomic.Int32
-	drain atomic.Bool
+	fleet  *soakFleet
+	uid    string
+	random *randomSource
+	ln     net.Listener
+	mode   atomic.Int32
+	drain  atomic.Bool
 }
 
-func newSoakServer(f *soakFleet, uid string) *soakServer {
+func newSoakServer(f *soakFleet, no int) *soakServer {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	s := &soakServer{fleet: f, uid: uid, ln: ln}
+	s := &soakServer{fleet: f, uid: fmt.Sprintf("s-%08x", no+1), ln: ln, random: newRandomSource(f.seed, serverStreams+uint64(no))}
 	go s.accept()
 	f.t.Cleanup(func() { ln.Close() })
 	return s
@@ -121,7 +123,7 @@
 
 // answer does what the server's mode and chance want; it is false when the connection is over.
 func (s *soakServer) answer(c net.Conn, id string) bool {
-	random, mode := s.fleet.random, serverMode(s.mode.Load())
+	random, mode := s.random, serverMode(s.mode.Load())
 	turnedAway := mode == serving && random.chance(25)
 	s.fleet.arrived(id, attemptSeen{server: s.uid, at: time.Now(), ran: !turnedAway})
 	reset := func() bool { _ = c.(*net.TCPConn).SetLinger(0); return false }
@@ -227,7 +229,6 @@
 	listen string
 	config string
 	agent  *soakAgent
-	random *randomSource
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -240,13 +241,14 @@
 
 // soakFleet is a small fleet of the real program, with what stands round it.
 type soakFleet struct {
-	t       testing.TB
-	program string
-	random  *randomSource
-	seen    *observations
-	servers []*soakServer
-	nodes   []*soakNode
-	crowded bool
+	t        testing.TB
+	program  string
+	seed     uint64
+	schedule *randomSource
+	seen     *observations
+	servers  []*soakServer
+	nodes    []*soakNode
+	crowded  bool
 
 	mu      sync.Mutex
 	rev     int
@@ -259,16 +261,23 @@
 	soakServers = 4
 )
 
+// Streams of a play's random sources.
+const (
+	scheduleStream = 1
+	serverStreams  = 100  // and one more for each server
+	clientStreams  = 1000 // and one more for each client of all nodes
+)
+
 func newSoakFleet(t testing.TB, seed uint64, crowded bool) *soakFleet {
-	f := &soakFleet{t: t, program: built(t), random: newRandomSource(seed), seen: newObservations(), crowded: crowded,
+	f := &soakFleet{t: t, program: built(t), seed: seed, schedule: newRandomSource(seed, scheduleStream), seen: newObservations(), crowded: crowded,
 		rev: 1, changed: make(chan struct{})}
 	for i := range soakServers {
-		f.servers = append(f.servers, newSoakServer(f, fmt.Sprintf("s-%08x", i+1)))
+		f.servers = append(f.servers, newSoakServer(f, i))
 	}
 	for i := range soakNodes {
 		name := fmt.Sprint("n", i)
 		f.nodes = append(f.nodes, &soakNode{fleet: f, name: name, listen: testkit.FreeAddr(t),
-			config: filepath.Join(t.TempDir(), "config.json"), agent: newSoakAgent(f, name), random: f.random})
+			config: filepath.Join(t.TempDir(), "config.json"), agent: newSoakAgent(f, name)})
 	}
 	for _, n := range f.nodes {
 		n.write(n.text(""))
@@ -358,7 +367,7 @@
 		{"name":%q,"aim_ms":600,"hard_limit_ms":%d,"semantics":"by_key","group":"all","window_ms":%d},
 		{"name":%q,"aim_ms":900,"hard_limit_ms":%d,"semantics":"once"}],
 		"plans":[{"name":%q},{"name":%q,"rate":40,"store_size":40},{"name":%q,"hard_rate":%g,"hard_burst":%g}%s]}}`,
-		n.name, n.listen, n.agent.addr(), n.random.intN(256), n.listen, strings.Join(peers, ","), sockets, f.lines(), me, len(f.nodes),
+		n.name, n.listen, n.agent.addr(), f.schedule.intN(256), n.listen, strings.Join(peers, ","), sockets, f.lines(), me, len(f.nodes),
 		mostAttempts, drainGrace.Milliseconds(), safeClass, longestDeadline.Milliseconds(),
 		keyedClass, longestDeadline.Milliseconds(), keyedWindow.Milliseconds(), onceClass, longestDeadline.Milliseconds(),
 		freePlan, ratePlan, ceilingPlan, ceilingRate, ceilingBurst, plan)
--- a/cmd/valvering/soak_test.go
+++ b/cmd/valvering/soak_test.go
@@ -34,6 +34,9 @@
 	}
 }
 
+// longEnough is how long a server drains beyond the time for which it may still be sent to.
+const longEnough = 500 * time.Millisecond
+
 // trouble is what happens beside a planned stop.
 type trouble int
 
@@ -98,9 +101,9 @@
 	var first, last resources
 	var story []string
 	for stop := range stops {
-		n, series, beside := f.nodes[stop%(soakNodes-1)], signalSeries(f.random.intN(int(signalSeriesCount))), noTrouble
+		n, series, beside := f.nodes[stop%(soakNodes-1)], signalSeries(f.schedule.intN(int(signalSeriesCount))), noTrouble
 		if !f.crowded {
-			beside = trouble(f.random.intN(int(troubles)))
+			beside = trouble(f.schedule.intN(int(troubles)))
 		}
 		story = append(story, fmt.Sprintf("%s: %v, %v", n.name, series, beside))
 		f.stop(n, series, beside, stays)
@@ -123,15 +126,15 @@
 // stop has a process end and starts the next one, with trouble beside it.
 func (f *soakFleet) stop(n *soakNode, series signalSeries, beside trouble, peer *soakNode) {
 	ended := f.begin(beside, peer)
-	time.Sleep(f.random.upTo(150 * time.Millisecond))
+	time.Sleep(f.schedule.upTo(150 * time.Millisecond))
 	from := n.tellToEnd(series)
-	time.Sleep(time.Until(from.Add(200*time.Millisecond + f.random.upTo(200*time.Millisecond))))
+	time.Sleep(time.Until(from.Add(200*time.Millisecond + f.schedule.upTo(200*time.Millisecond))))
 	n.setFront(false)
 	seen := n.ending(from)
 	n.write(n.text(""))
 	n.begin()
-	if f.random.chance(4) { // told to end before it is ready
-		time.Sleep(f.random.upTo(40 * time.Millisecond))
+	if f.schedule.chance(4) { // told to end before it is ready
+		time.Sleep(f.schedule.upTo(40 * time.Millisecond))
 		n.signal(syscall.SIGTERM)
 		early := n.ending(time.Now())
 		if early.killed {
@@ -144,12 +147,12 @@
 	f.seen.stops = append(f.seen.stops, seen)
 	f.seen.mu.Unlock()
 	ended()
-	time.Sleep(f.random.upTo(300 * time.Millisecond))
+	time.Sleep(f.schedule.upTo(300 * time.Millisecond))
 }
 
 // begin has a trouble begin; what it returns ends it.
 func (f *soakFleet) begin(beside trouble, peer *soakNode) (end func()) {
-	s := f.servers[f.random.intN(len(f.servers))]
+	s := f.servers[f.schedule.intN(len(f.servers))]
 	agents := func(mode discoveryMode) func() {
 		for _, n := range f.nodes {
 			n.agent.mode.Store(int32(mode))
@@ -171,9 +174,10 @@
 	case serverDrains:
 		s.drain.Store(true)
 		f.change()
-		return func() { s.drain.Store(false); f.change() }
+		over := time.Now().Add(drainGrace + longEnough)
+		return func() { time.Sleep(time.Until(over)); s.drain.Store(false); f.change() }
 	case peerKilled:
-		wait := f.random.upTo(500 * time.Millisecond)
+		wait := f.schedule.upTo(500 * time.Millisecond)
 		var group sync.WaitGroup
 		group.Go(func() { time.Sleep(wait); peer.kill() })
 		return group.Wait
@@ -183,8 +187,8 @@
 
 // tellToEnd sends a series of signals and returns when the first SIGTERM was sent.
 func (n *soakNode) tellToEnd(series signalSeries) (from time.Time) {
-	pause := func() { time.Sleep(n.random.upTo(30 * time.Millisecond)) }
-	reload := func() { n.write(n.text(fmt.Sprint("plan", n.random.intN(100)))); n.signal(syscall.SIGHUP) }
+	pause := func() { time.Sleep(n.fleet.schedule.upTo(30 * time.Millisecond)) }
+	reload := func() { n.write(n.text(fmt.Sprint("plan", n.fleet.schedule.intN(100)))); n.signal(syscall.SIGHUP) }
 	end := func() time.Time { at := time.Now(); n.signal(syscall.SIGTERM); return at }
 	switch series {
 	case hupTerm:
