--- a/cmd/machine/main.go
+++ b/cmd/machine/main.go
@@ -59,16 +59,16 @@
 	clean bool
 }
 
-// machine carries out what the crew orders.
+// machine carries out what the supervisor orders.
 type machine struct {
-	folder  string
-	program string
-	log     io.Writer
-	mu      sync.Mutex // of the log
-	crew    *crew
-	procs   map[string]*os.Process
-	ends    chan ending
-	began   time.Time
+	folder     string
+	program    string
+	log        io.Writer
+	mu         sync.Mutex // of the log
+	supervisor *supervisor
+	procs      map[string]*os.Process
+	ends       chan ending
+	began      time.Time
 }
 
 func run(args []string, log io.Writer) int {
@@ -104,7 +104,7 @@
 		return exitUsage
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(m, nil)))
-	m.crew = newCrew(names, *budget, rand.Uint64())
+	m.supervisor = newSupervisor(names, *budget, rand.Uint64())
 	line, lost := m.serve()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -148,28 +148,28 @@
 	defer signal.Stop(signals)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
-	for !m.crew.over() {
+	for !m.supervisor.over() {
 		select {
 		case s := <-signals:
 			if s == syscall.SIGHUP {
 				m.reload()
 			} else {
-				slog.Info("drain", "hurry", m.crew.drained)
-				m.crew.drain(m.now())
+				slog.Info("drain", "hurry", m.supervisor.drained)
+				m.supervisor.drain(m.now())
 			}
 		case e := <-m.ends:
 			delete(m.procs, e.name)
-			if u := m.crew.units[e.name]; u.state == running {
+			if u := m.supervisor.units[e.name]; u.state == running {
 				slog.Error("crashed", "edge node", e.name, "how", e.why)
 			} else {
 				slog.Info("ended", "edge node", e.name, "how", e.why)
 			}
-			m.crew.exited(e.name, m.now(), e.why, e.clean)
+			m.supervisor.exited(e.name, m.now(), e.why, e.clean)
 		case <-tick.C:
 		}
-		m.carryOut(m.crew.tick(m.now()))
+		m.carryOut(m.supervisor.tick(m.now()))
 	}
-	return m.crew.report(m.now())
+	return m.supervisor.report(m.now())
 }
 
 func (m *machine) reload() {
@@ -178,7 +178,7 @@
 		slog.Error("folder not read; the edge nodes stay as they are", "err", err)
 		return
 	}
-	m.carryOut(m.crew.listed(names, m.now()))
+	m.carryOut(m.supervisor.listed(names, m.now()))
 }
 
 func (m *machine) carryOut(orders []order) {
--- a/cmd/machine/crew.go
+++ b/cmd/machine/supervisor.go
@@ -20,14 +20,14 @@
 	hastenPart = 0.2 // of the budget, at its end, in which what still drains is hastened
 )
 
-// crew is the edge nodes of a machine as a state machine: events and time in,
+// supervisor is the edge nodes of a machine as a state machine: events and time in,
 // orders out. It is not safe for concurrent use.
 //
 // It promises: nothing starts once the drain has begun, or before its wait is
 // over; while there is time for it one edge node drains after the other, so that
 // a customer's root and deputy don't leave together; none is left running when
 // the budget is over.
-type crew struct {
+type supervisor struct {
 	units   map[string]*unit
 	rng     *rand.Rand
 	budget  time.Duration
@@ -75,24 +75,24 @@
 	kill        // SIGKILL
 )
 
-func newCrew(names []string, budget time.Duration, seed uint64) *crew {
-	c := &crew{units: map[string]*unit{}, rng: rand.New(rand.NewPCG(seed, 0)), budget: budget}
+func newSupervisor(names []string, budget time.Duration, seed uint64) *supervisor {
+	s := &supervisor{units: map[string]*unit{}, rng: rand.New(rand.NewPCG(seed, 0)), budget: budget}
 	for _, n := range names {
-		c.units[n] = &unit{name: n}
+		s.units[n] = &unit{name: n}
 	}
-	return c
+	return s
 }
 
 // sorted gives the edge nodes in the order of their names.
-func (c *crew) sorted() []*unit {
-	return slices.SortedFunc(maps.Values(c.units), func(a, b *unit) int { return cmp.Compare(a.name, b.name) })
+func (s *supervisor) sorted() []*unit {
+	return slices.SortedFunc(maps.Values(s.units), func(a, b *unit) int { return cmp.Compare(a.name, b.name) })
 }
 
 func (u *unit) become(s state, now time.Duration) { u.state, u.since = s, now }
 
 // exited takes in the end of a process.
-func (c *crew) exited(name string, now time.Duration, why string, clean bool) {
-	u := c.units[name]
+func (s *supervisor) exited(name string, now time.Duration, why string, clean bool) {
+	u := s.units[name]
 	switch u.state {
 	case draining:
 		if !clean && u.lost == "" {
@@ -105,40 +105,40 @@
 			u.wait = 0
 		}
 		u.wait = min(max(2*u.wait, leastWait), mostWait)
-		u.due = now + u.wait + time.Duration(jitterPart*c.rng.Float64()*float64(u.wait))
+		u.due = now + u.wait + time.Duration(jitterPart*s.rng.Float64()*float64(u.wait))
 		u.become(waiting, now)
-		if c.drained || u.gone {
+		if s.drained || u.gone {
 			u.lost = cmp.Or(u.lost, why)
 			u.become(ended, now)
 		}
 	}
 	switch {
-	case u.state != ended || !u.gone || c.drained:
+	case u.state != ended || !u.gone || s.drained:
 	case u.back:
-		c.units[name] = &unit{name: name, due: now}
+		s.units[name] = &unit{name: name, due: now}
 	case u.lost == "":
-		delete(c.units, name)
+		delete(s.units, name)
 	}
 }
 
 // listed takes in which files there are now: new ones are started, what has none
 // drains, all others are told to read theirs.
-func (c *crew) listed(names []string, now time.Duration) (out []order) {
-	if c.drained {
+func (s *supervisor) listed(names []string, now time.Duration) (out []order) {
+	if s.drained {
 		names = nil // told again below, to those that run
 	}
 	for _, n := range names {
-		u := c.units[n]
+		u := s.units[n]
 		if u == nil || u.gone && u.state == ended {
-			c.units[n] = &unit{name: n}
+			s.units[n] = &unit{name: n}
 		} else {
 			u.back = u.gone
 		}
 	}
-	for _, u := range c.sorted() {
+	for _, u := range s.sorted() {
 		there := slices.Contains(names, u.name)
 		switch {
-		case u.state == running && !there && !c.drained:
+		case u.state == running && !there && !s.drained:
 			u.gone = true
 			u.become(draining, now)
 			out = append(out, order{u.name, stop})
@@ -146,21 +146,21 @@
 			out = append(out, order{u.name, reload})
 		case u.state == waiting && there:
 			u.due = now // its file may be mended
-		case u.state == waiting && !c.drained:
-			delete(c.units, u.name)
+		case u.state == waiting && !s.drained:
+			delete(s.units, u.name)
 		}
 	}
 	return out
 }
 
 // drain begins the end of the machine's service; asked for again it hurries.
-func (c *crew) drain(now time.Duration) {
-	if c.drained {
-		c.hasty = true
+func (s *supervisor) drain(now time.Duration) {
+	if s.drained {
+		s.hasty = true
 		return
 	}
-	c.drained, c.began, c.next = true, now, now
-	for _, u := range c.units {
+	s.drained, s.began, s.next = true, now, now
+	for _, u := range s.units {
 		if u.state == waiting {
 			u.become(ended, now) // nothing of it is open
 		}
@@ -168,9 +168,9 @@
 }
 
 // tick gives the orders that are due.
-func (c *crew) tick(now time.Duration) (out []order) {
-	if !c.drained {
-		for _, u := range c.sorted() {
+func (s *supervisor) tick(now time.Duration) (out []order) {
+	if !s.drained {
+		for _, u := range s.sorted() {
 			if u.state == waiting && now >= u.due {
 				u.become(running, now)
 				out = append(out, order{u.name, start})
@@ -178,10 +178,10 @@
 		}
 		return out
 	}
-	left := c.began + c.budget - now
-	hurry := c.hasty || left <= time.Duration(hastenPart*float64(c.budget))
+	left := s.began + s.budget - now
+	hurry := s.hasty || left <= time.Duration(hastenPart*float64(s.budget))
 	var active, rest []*unit
-	for _, u := range c.sorted() {
+	for _, u := range s.sorted() {
 		switch u.state {
 		case draining:
 			active = append(active, u)
@@ -189,13 +189,13 @@
 			rest = append(rest, u)
 		}
 	}
-	for len(rest) > 0 && (hurry || len(active) == 0 || now >= c.next) {
+	for len(rest) > 0 && (hurry || len(active) == 0 || now >= s.next) {
 		u := rest[0]
 		rest, active = rest[1:], append(active, u)
 		u.become(draining, now)
 		out = append(out, order{u.name, stop})
 		// If this one takes its time the others still have an even part of what is left.
-		c.next = now + (left-time.Duration(hastenPart*float64(c.budget)))/time.Duration(len(rest)+1)
+		s.next = now + (left-time.Duration(hastenPart*float64(s.budget)))/time.Duration(len(rest)+1)
 	}
 	for _, u := range active {
 		switch {
@@ -211,11 +211,11 @@
 }
 
 // over tells whether the machine's service has ended.
-func (c *crew) over() bool {
-	if !c.drained {
+func (s *supervisor) over() bool {
+	if !s.drained {
 		return false
 	}
-	for _, u := range c.units {
+	for _, u := range s.units {
 		if u.state != ended {
 			return false
 		}
@@ -224,9 +224,9 @@
 }
 
 // report is the last line: whether anything was lost, and where.
-func (c *crew) report(now time.Duration) (line string, lost bool) {
+func (s *supervisor) report(now time.Duration) (line string, lost bool) {
 	var where, crashed []string
-	for _, u := range c.sorted() {
+	for _, u := range s.sorted() {
 		if u.lost != "" {
 			where = append(where, fmt.Sprintf("%s (%s)", u.name, u.lost))
 		}
@@ -234,7 +234,7 @@
 			crashed = append(crashed, fmt.Sprintf("%s (%d)", u.name, u.crashes))
 		}
 	}
-	line = fmt.Sprintf("drained %d edge nodes in %v: ", len(c.units), (now - c.began).Round(10*time.Millisecond))
+	line = fmt.Sprintf("drained %d edge nodes in %v: ", len(s.units), (now - s.began).Round(10*time.Millisecond))
 	if len(where) == 0 {
 		line += "nothing lost"
 	} else {
--- a/cmd/machine/crew_test.go
+++ b/cmd/machine/supervisor_test.go
@@ -15,7 +15,7 @@
 	return l
 }
 
-func (c *crew) states() string {
+func (c *supervisor) states() string {
 	var out []string
 	for _, u := range c.sorted() {
 		out = append(out, fmt.Sprint(u.name, [...]string{" waiting", " running", " draining", " ended"}[u.state]))
@@ -26,7 +26,7 @@
 // What crashes is started again after waits that double up to a bound, with a
 // jitter, and begin anew for one that ran for long.
 func TestBackoff(t *testing.T) {
-	c := newCrew(names(1), time.Minute, 1)
+	c := newSupervisor(names(1), time.Minute, 1)
 	now := time.Second
 	var last time.Duration
 	for i := range 12 {
@@ -49,10 +49,10 @@
 	if wait := c.units["n0"].due - now - steadyFor; wait >= last/2 {
 		t.Errorf("waits %v after it ran for long", wait)
 	}
-	other := newCrew(names(1), time.Minute, 2)
+	other := newSupervisor(names(1), time.Minute, 2)
 	other.tick(0)
 	other.exited("n0", 0, "", false)
-	first := newCrew(names(1), time.Minute, 1)
+	first := newSupervisor(names(1), time.Minute, 1)
 	first.tick(0)
 	first.exited("n0", 0, "", false)
 	if other.units["n0"].due == first.units["n0"].due {
@@ -61,7 +61,7 @@
 }
 
 func TestListed(t *testing.T) {
-	c := newCrew(names(3), time.Minute, 1)
+	c := newSupervisor(names(3), time.Minute, 1)
 	c.tick(0)
 	c.exited("n2", time.Second, "exit status 2", false)
 	c.units["n2"].due = time.Hour
@@ -83,7 +83,7 @@
 // While there is time for it one drains after the other; one in a crash loop has
 // nothing open.
 func TestDrainInTurn(t *testing.T) {
-	c := newCrew(names(4), 100*time.Second, 1)
+	c := newSupervisor(names(4), 100*time.Second, 1)
 	c.tick(0)
 	c.exited("n3", 0, "exit status 1", false)
 	c.drain(time.Second)
@@ -107,7 +107,7 @@
 // Asked twice, all drain at once and are hastened; what outlasts the budget is
 // killed, and the last line says where.
 func TestDrainInAHurry(t *testing.T) {
-	c := newCrew(names(2), 10*time.Second, 1)
+	c := newSupervisor(names(2), 10*time.Second, 1)
 	c.tick(0)
 	c.drain(time.Second)
 	c.tick(time.Second)
@@ -132,15 +132,15 @@
 // Whatever ends when, and however signals come: nothing starts once the drain has
 // begun or before its wait is over, no more than one drains while there is time,
 // every edge node that runs is told to stop, and the budget holds.
-func TestCrewModel(t *testing.T) {
+func TestSupervisorModel(t *testing.T) {
 	for seed := range uint64(1000) {
-		if err := model(seed, newCrew(names(int(seed%9)+1), 20*time.Second, seed)); err != nil {
+		if err := model(seed, newSupervisor(names(int(seed%9)+1), 20*time.Second, seed)); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
 	}
 }
 
-func model(seed uint64, c *crew) error {
+func model(seed uint64, c *supervisor) error {
 	rng := rand.New(rand.NewPCG(seed, 9))
 	type proc struct{ ends time.Duration }
 	alive := map[string]*proc{}
--- a/cmd/valvering/main_test.go
+++ b/cmd/valvering/main_test.go
@@ -18,7 +18,7 @@
 
 // The test binary stands in for the program when it is told so.
 func TestMain(m *testing.M) {
-	if os.Getenv("PEPPERFALL_RUN") != "" {
+	if os.Getenv("VALVERING_TEST_RUN") != "" {
 		os.Exit(start(nil, os.Stdout, os.Stderr))
 	}
 	code := m.Run()
@@ -59,7 +59,7 @@
 	}
 	var out bytes.Buffer
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "PEPPERFALL_RUN=1", "GW_CONFIG="+path, "GW_LISTEN=", "GW_DISCOVERY=", "GW_NAME=")
+	cmd.Env = append(os.Environ(), "VALVERING_TEST_RUN=1", "GW_CONFIG="+path, "GW_LISTEN=", "GW_DISCOVERY=", "GW_NAME=")
 	cmd.Stderr = &out
 	return cmd, &out
 }
--- a/internal/node/overbooked_test.go
+++ b/internal/node/overbooked_test.go
@@ -289,3 +289,23 @@
 		}
 	}
 }
+
+// The same with two calls worked on and all others swallowed.
+func TestServiceThatSwallowsAllButTwoIsHeard(t *testing.T) {
+	for _, outage := range []time.Duration{300 * time.Millisecond, 2500 * time.Millisecond, 8 * time.Second} {
+		t.Run(fmt.Sprintf("outage of %v", outage), func(t *testing.T) {
+			worst := time.Duration(0)
+			for seed := range uint64(40) {
+				synctest.Test(t, func(t *testing.T) {
+					s := &overbooked{beyond: drops, workers: 2, work: 50 * time.Millisecond, rev: 1, turn: make(chan struct{})}
+					for i, took := range overbookedDay(t, s, 24, outage, seed) {
+						if worst = max(worst, took); took > toldWithin {
+							t.Errorf("seed %d, change %d: heard by all %v after it could be", seed, i, took)
+						}
+					}
+				})
+			}
+			t.Logf("heard by all %v after a change at the latest", worst)
+		})
+	}
+}
