--- a/cmd/valvering/soak_judge_test.go
+++ b/cmd/valvering/soak_judge_test.go
@@ -23,7 +23,7 @@
 	ceilingBurst    = 20.0 // units
 	ceilingSlack    = 6.0  // units: the largest request
 	tooLateToJudge  = 400 * time.Millisecond
-	latenessMargin  = 4 // the machine may be so many times as late elsewhere as where it is measured
+	latenessMargin  = 4 // times as late as seen in the test's own process the machine may be elsewhere
 	measureLateness = 5 * time.Millisecond
 )
 
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -61,31 +61,38 @@
 // and the connection that comes up then must not carry it.
 func TestClientLeavesWhileItsDialIsOut(t *testing.T) {
 	for name, ahead := range map[string]string{"": "", "with more sent": "GET /lookup HTTP/1.1\r\nHost: a\r\n\r\n"} {
-		a := newApp(t, answer("200 OK", "", "hits"))
-		n := nodeWith(t, a.addr())
-		begun, let := holdDials(n.up)
-		c := dial(t, n)
-		r := request(n.url, "loan", patience)
-		send(t, c, r)
-		<-begun
-		if _, err := c.Write([]byte(ahead)); err != nil {
-			t.Fatal(err)
-		}
-		c.Close()
-		n.looks(t)
-		let <- struct{}{}
-		n.idle(t)
-		if left := n.Status().Leavers; a.seen.Load() != 0 || left != (Leavers{Dialing: 1}) {
-			t.Errorf("%s: sent on %d times for a client that had gone, %+v", name, a.seen.Load(), left)
-		}
-		n.stop()
-		if err := <-n.done; err != nil {
-			t.Error(err)
+		if attempts, left := leaveWhileDialing(t, []byte(ahead)); attempts != 0 || left != (Leavers{Dialing: 1}) {
+			t.Errorf("%s: sent on %d times for a client that had gone, %+v", name, attempts, left)
 		}
-		http.DefaultClient.CloseIdleConnections()
 	}
 }
 
+// leaveWhileDialing has a client send a request and some bytes behind it, and go while the dial
+// is out. It returns how often the request was sent on, and how its client was noticed to go.
+func leaveWhileDialing(t *testing.T, ahead []byte) (attempts int32, left Leavers) {
+	t.Helper()
+	a := newApp(t, answer("200 OK", "", "hits"))
+	n := nodeWith(t, a.addr())
+	begun, let := holdDials(n.up)
+	c := dial(t, n)
+	send(t, c, request(n.url, "loan", patience))
+	<-begun
+	if _, err := c.Write(ahead); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	n.looks(t)
+	let <- struct{}{}
+	n.idle(t)
+	attempts, left = a.seen.Load(), n.Status().Leavers
+	n.stop()
+	if err := <-n.done; err != nil {
+		t.Error(err)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	return attempts, left
+}
+
 // away is a client that has gone.
 type away struct{}
 
--- a/internal/node/sent_ahead_test.go
+++ b/internal/node/sent_ahead_test.go
@@ -16,27 +16,9 @@
 // whatever is left to read.
 func TestClientLeavesBehindMoreThanIsReadAhead(t *testing.T) {
 	for _, bytesAhead := range []int{mostAhead - 1, mostAhead, mostAhead + 1, 2 * mostAhead} {
-		a := newApp(t, answer("200 OK", "", "hits"))
-		n := nodeWith(t, a.addr())
-		begun, let := holdDials(n.up)
-		c := dial(t, n)
-		send(t, c, request(n.url, "loan", patience))
-		<-begun
-		if _, err := c.Write(bytes.Repeat([]byte("x"), bytesAhead)); err != nil {
-			t.Fatal(err)
+		if attempts, left := leaveWhileDialing(t, bytes.Repeat([]byte("x"), bytesAhead)); attempts != 0 || left != (Leavers{Dialing: 1}) {
+			t.Errorf("%d bytes ahead: sent on %d times for a client that had gone, %+v", bytesAhead, attempts, left)
 		}
-		c.Close()
-		n.looks(t)
-		let <- struct{}{}
-		n.idle(t)
-		if left := n.Status().Leavers; a.seen.Load() != 0 || left != (Leavers{Dialing: 1}) {
-			t.Errorf("%d bytes ahead: sent on %d times for a client that had gone, %+v", bytesAhead, a.seen.Load(), left)
-		}
-		n.stop()
-		if err := <-n.done; err != nil {
-			t.Error(err)
-		}
-		http.DefaultClient.CloseIdleConnections()
 	}
 }
 
