--- a/internal/node/message_test.go
+++ b/internal/node/message_test.go
@@ -72,7 +72,7 @@
 			return
 		}
 		br := bufio.NewReader(bytes.NewReader(data))
-		for range mostInterim + 1 {
+		for range maxInterim + 1 {
 			resp, err := http.ReadResponse(br, nil)
 			if err != nil {
 				t.Fatalf("taken here, elsewhere: %v", err)
