--- a/internal/node/overbooked_test.go
+++ b/internal/node/overbooked_test.go
@@ -37,6 +37,7 @@
 	work    time.Duration // on each call
 
 	mu     sync.Mutex
+	calls  int // that have come
 	busy   int
 	queued []chan struct{}
 	rev    int64
@@ -55,6 +56,7 @@
 // enter waits for a worker; it is false where the call is refused or never gets one.
 func (s *overbooked) enter(w http.ResponseWriter, r *http.Request) bool {
 	s.mu.Lock()
+	s.calls++
 	if s.silent {
 		s.mu.Unlock()
 		<-r.Context().Done()
