Give up swallowed calls to discovery early and spread the watches that news end together

Callers saw requests sent to servers that had been listed as draining or gone for up to 11 s, where lists are asked for from a service that works on two calls and swallows the others; 6 s are allowed.

Cause: news end all watches at one moment, and all are opened anew at one moment, so that most are swallowed, seen after 4 s; in the 2 s left a call that is swallowed too takes 1 to 2 s to be given up.

Fix, in follow of internal/node/discovery.go, which is a type of its own with short methods now: four calls in a row behind a failure are given up after 250 to 500 ms, the fifth has 2 s; behind news the next watch is opened within 150 ms. A call given up early is told of as a failure only once nothing was heard for 1 s.

Also renames leastBackoff, leastWait, leastAnswer, mostCalls and mostAnswer to min and max.

--- a/internal/lab/scale/clients.go
+++ b/internal/lab/scale/clients.go
@@ -26,7 +26,7 @@
 const (
 	connections = 512              // kept to one edge node
 	lostAfter   = 2 * time.Second  // behind its deadline a request without an answer is lost
-	mostAnswer  = 64 << 10         // bytes
+	maxAnswer   = 64 << 10         // bytes
 	drainFor    = 10 * time.Second // for requests that are open at the end of the load
 )
 
@@ -82,7 +82,7 @@
 		return endLost, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	switch {
 	case err != nil:
 		return endLost, err
--- a/internal/node/descriptors.go
+++ b/internal/node/descriptors.go
@@ -38,7 +38,7 @@
 
 // callsFor is how many calls to discovery may be out beside one another with so many
 // descriptors.
-func callsFor(n int) int { return min(mostCalls, max(leastCalls, n/descriptorsPerCall)) }
+func callsFor(n int) int { return min(maxCalls, max(leastCalls, n/descriptorsPerCall)) }
 
 // parts deals out so many descriptors; each side has one at least.
 func parts(n int) (clients, servers int) {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,20 +25,21 @@
 )
 
 const (
-	watchPause   = 50 * time.Millisecond // a watch goes on if the next call comes within 200 ms
-	leastBackoff = 25 * time.Millisecond
+	watchPause = 50 * time.Millisecond // a watch goes on if the next call comes within 200 ms
+	minBackoff = 25 * time.Millisecond
+	maxHasty   = 4 // calls in a row that are given up early
 
 	// Of the grace in which sends to a draining server must end, where lists are pushed.
 	waitPart, slackPart, answerPart, backoffPart = 0.25, 0.125, 0.25, 0.125
-	leastWait                                    = 50 * time.Millisecond
-	leastAnswer                                  = 100 * time.Millisecond
+	minWait                                      = 50 * time.Millisecond
+	minAnswer                                    = 100 * time.Millisecond
 
 	pacingSeed = 0x64697363 // the stream of random numbers that pacing draws from
 
-	mostCalls = 8 // beside one another, of those that are not answered
+	maxCalls = 8 // beside one another, of those that are not answered
 
 	answerStep = 64 << 10         // bytes of an answer after which it counts as coming
-	mostAnswer = 10 * time.Second // and then it may go on so long
+	maxAnswer  = 10 * time.Second // and then it may go on so long
 )
 
 // pacing is for how long discovery is waited for. A call that is not answered can't be
@@ -47,6 +50,8 @@
 	slack   time.Duration // and is held to be broken so much later
 	answer  time.Duration // all other calls are answered by then, or another is made beside them
 	patient time.Duration // and given up so long after they were made
+	hasty   time.Duration // most of those behind a failure so long; 0: none is
+	spread  time.Duration // the longest pause behind news, drawn at random: edge nodes get them at once
 	calls   int           // most of them beside one another
 	backoff time.Duration // the longest pause behind a call that failed
 	jitter  float64       // part of a pause and of some patience that is drawn at random: edge nodes must not call in step
@@ -56,7 +61,7 @@
 // and overrun by many calls. What a silent watch misses counts as told 6 s after it fell
 // silent; it is found out after 4 s, and the call that follows does not wait.
 var asked = pacing{wait: 3 * time.Second, slack: time.Second, answer: 2 * time.Second, patient: 2 * time.Second,
-	calls: 1, backoff: 400 * time.Millisecond, jitter: 0.5}
+	hasty: 500 * time.Millisecond, spread: 150 * time.Millisecond, calls: 1, backoff: 400 * time.Millisecond, jitter: 0.5}
 
 // shorten takes a random part off a time.
 func (p pacing) shorten(rng *rand.Rand, d time.Duration) time.Duration {
@@ -74,13 +79,13 @@
 	part := func(p float64, least time.Duration) time.Duration {
 		return max(least, time.Duration(p*float64(f.DrainGrace)))
 	}
-	answer, calls := min(asked.answer, part(answerPart, leastAnswer)), mostCalls
+	answer, calls := min(asked.answer, part(answerPart, minAnswer)), maxCalls
 	if n, _ := usable(f); n > 0 {
 		calls = callsFor(n)
 	}
-	return pacing{wait: min(asked.wait, part(waitPart, leastWait)), slack: min(asked.slack, part(slackPart, leastWait)),
+	return pacing{wait: min(asked.wait, part(waitPart, minWait)), slack: min(asked.slack, part(slackPart, minWait)),
 		answer: answer, patient: min(asked.patient, time.Duration(calls)*answer), calls: calls,
-		backoff: min(asked.backoff, part(backoffPart, leastBackoff))}
+		backoff: min(asked.backoff, part(backoffPart, minBackoff))}
 }
 
 // discovery follows the list of app servers.
@@ -134,68 +139,119 @@
 // had is asked for again soon, without waiting for news; the list held stays in force
 // meanwhile.
 func (d *discovery) follow(ctx context.Context, addr string) {
-	rev, have, backoff, down, bad := int64(0), false, leastBackoff, false, 0
-	failures := 0 // in a row
+	f := &follower{d: d, url: "http://" + addr + "/v1/servers", backoff: minBackoff, heard: time.Now()}
 	for ctx.Err() == nil {
 		d.mu.Lock()
-		pace := d.pace
+		f.pace = d.pace
 		d.mu.Unlock()
-		if failures%2 == 0 { // the next call has all the time, for a service that needs it
-			pace.patient = pace.shorten(d.rng, pace.patient)
-		}
-		url, began := "http://"+addr+"/v1/servers", time.Now()
-		var l *serverList
-		var err error
-		failed := func(err error) {
-			if !down {
-				slog.Warn("discovery does not answer; the list held stays in force", "err", err)
-			}
-			down = true
-			d.tell(nil, policy.AskFailed)
-		}
-		switch {
-		case have && down:
-			l, err = d.ask(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=0", url, rev), pace, failed)
-		case have:
-			l, err = d.get(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", url, rev, pace.wait.Milliseconds()), pace.wait+pace.slack, new(atomic.Int64))
-			if err != nil && ctx.Err() == nil {
-				failed(err)
-			}
-		default:
-			l, err = d.ask(ctx, url, pace, failed)
-		}
+		began := time.Now()
+		l, err := f.call(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil && l.Twice != nil && (l.All || !have) {
+		if err == nil && l.Twice != nil && (l.All || !f.have) {
 			err = l.Twice // it contradicts itself; among changes the last line counts
-			failed(err)
+			f.failed(err)
 		}
 		if err != nil {
-			failures++
-			sleep(ctx, pace.shorten(d.rng, backoff))
-			backoff = min(2*backoff, pace.backoff)
+			f.failures++
+			sleep(ctx, f.pace.shorten(d.rng, f.backoff))
+			f.backoff = min(2*f.backoff, f.pace.backoff)
 			continue
 		}
-		if down {
-			slog.Info("discovery answers again", "rev", l.Rev)
-		}
-		down, backoff, failures = false, leastBackoff, 0
-		if have && l.Rev == rev && time.Since(began) < watchPause {
-			sleep(ctx, watchPause) // it does not wait as it should: don't ask without pause
-		}
-		if l.Bad != bad && l.Bad > 0 {
-			slog.Warn("lines of discovery's list passed over", "lines", l.Bad, "first", l.BadWhy)
-		}
-		bad = l.Bad
-		switch {
-		case l.All || !have:
-			d.tell(l, policy.Whole)
-		case len(l.Targets) > 0:
-			d.tell(l, policy.Changes)
-		}
-		// A version that goes back is another's: what changed since is not known of it.
-		rev, have = l.Rev, l.All || !have || l.Rev >= rev
+		f.take(l)
+		f.pauseBeforeWatch(ctx, began)
+	}
+}
+
+// follower follows the list at one address.
+type follower struct {
+	d    *discovery
+	url  string
+	pace pacing
+
+	rev  int64
+	have bool // a list of version rev, which changes can be asked for of
+	news bool // the last answer brought changes to a list that was there
+
+	failures int // in a row
+	backoff  time.Duration
+	heard    time.Time // when discovery last answered, or a failure was told of
+	warned   bool      // since the last answer
+	bad      int       // lines passed over in the last list
+}
+
+// call asks for the whole list, for changes, or waits for changes.
+func (f *follower) call(ctx context.Context) (*serverList, error) {
+	changes := fmt.Sprintf("%s?since=%d&timeout_ms=", f.url, f.rev)
+	switch {
+	case !f.have:
+		return f.d.ask(ctx, f.url, f.patience(), f.failed)
+	case f.failures > 0:
+		return f.d.ask(ctx, changes+"0", f.patience(), f.failed)
+	}
+	wait := strconv.FormatInt(f.pace.wait.Milliseconds(), 10)
+	l, err := f.d.get(ctx, changes+wait, f.pace.wait+f.pace.slack, new(atomic.Int64))
+	if err != nil && ctx.Err() == nil {
+		f.failed(err)
+	}
+	return l, err
+}
+
+// patience is the pacing with the time that the next call is given. A call that was swallowed is
+// given up early, by an edge node that was unlucky among many; each maxHasty+1st has all the time,
+// for a service that needs it.
+func (f *follower) patience() pacing {
+	pace := f.pace
+	if pace.hasty > 0 && f.failures%(maxHasty+1) < maxHasty {
+		pace.patient = pace.shorten(f.d.rng, pace.hasty)
+	}
+	return pace
+}
+
+// failed tells of a call that failed. One that was given up early says little: it is told of once
+// nothing was heard for half of the time that a patient call has.
+func (f *follower) failed(err error) {
+	var unanswered unansweredError
+	if errors.As(err, &unanswered) && unanswered.limit < f.pace.patient && time.Since(f.heard) < f.pace.patient/2 {
+		return
+	}
+	if !f.warned {
+		slog.Warn("discovery does not answer; the list held stays in force", "err", err)
+	}
+	f.warned, f.heard = true, time.Now()
+	f.d.tell(nil, policy.AskFailed)
+}
+
+// take hands on a list.
+func (f *follower) take(l *serverList) {
+	if f.warned {
+		slog.Info("discovery answers again", "rev", l.Rev)
+	}
+	f.warned, f.heard, f.backoff, f.failures = false, time.Now(), minBackoff, 0
+	if l.Bad != f.bad && l.Bad > 0 {
+		slog.Warn("lines of discovery's list passed over", "lines", l.Bad, "first", l.BadWhy)
+	}
+	f.bad = l.Bad
+	switch {
+	case l.All || !f.have:
+		f.d.tell(l, policy.Whole)
+	case len(l.Targets) > 0:
+		f.d.tell(l, policy.Changes)
+	}
+	f.news = !f.have || l.Rev != f.rev
+	// A version that goes back is another's: what changed since is not known of it.
+	f.rev, f.have = l.Rev, l.All || !f.have || l.Rev >= f.rev
+}
+
+// pauseBeforeWatch waits where the service does not, and where it has just answered all edge
+// nodes at once: most calls of all of them together would find it busy.
+func (f *follower) pauseBeforeWatch(ctx context.Context, began time.Time) {
+	switch {
+	case !f.news && time.Since(began) < watchPause:
+		sleep(ctx, watchPause)
+	case f.news && f.pace.spread > 0:
+		sleep(ctx, time.Duration(f.d.rng.Int64N(int64(f.pace.spread))))
 	}
 }
 
@@ -210,7 +266,7 @@
 		l   *serverList
 		err error
 	}
-	answers, out := make(chan answer, mostCalls), 0
+	answers, out := make(chan answer, maxCalls), 0
 	var steps atomic.Int64 // of the answers that are coming
 	seen := int64(0)
 	call := func() {
@@ -253,7 +309,7 @@
 func (d *discovery) get(ctx context.Context, url string, limit time.Duration, steps *atomic.Int64) (*serverList, error) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	giveUp := time.AfterFunc(limit, func() { end(fmt.Errorf("no answer within %v", limit)) })
+	giveUp := time.AfterFunc(limit, func() { end(unansweredError{limit}) })
 	defer giveUp.Stop()
 	d.mu.Lock()
 	limits := d.limits
@@ -274,6 +330,11 @@
 	return roster.Decode(body, limits)
 }
 
+// unansweredError is the end of a call that was given up.
+type unansweredError struct{ limit time.Duration }
+
+func (e unansweredError) Error() string { return fmt.Sprintf("no answer within %v", e.limit) }
+
 // answerReader reads an answer that may be large. Whoever sends it without a stop is
 // given more time, within a bound.
 type answerReader struct {
@@ -292,7 +353,7 @@
 	}
 	r.part = 0
 	r.steps.Add(1)
-	if time.Since(r.began) < mostAnswer {
+	if time.Since(r.began) < maxAnswer {
 		r.giveUp.Reset(r.limit)
 	}
 	return n, err
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -227,7 +227,7 @@
 			if past := time.Since(began); past < 3*time.Second || past > 8*time.Second {
 				t.Errorf("asked for %v: the third failure told of after %v", ask, past)
 			}
-			if n := most.Load(); ask && n != 1 || !ask && (n < 2 || n > mostCalls) {
+			if n := most.Load(); ask && n != 1 || !ask && (n < 2 || n > maxCalls) {
 				t.Errorf("asked for %v: %d calls beside one another", ask, n)
 			}
 			end()
