Hold in a test that a client which left behind 320 KiB has its request sent on

A client that sends more behind its request than the receive buffer takes and closes is not seen to have gone, and its attempt begins, which the 0.1 s rule forbids. To refuse every request with so much unread behind it would refuse what TestSentAheadOfTheAnswer serves (300 requests sent ahead, over 60 KB), so it waits for a look at the window that the system advertises.

--- a/internal/node/sent_ahead_test.go
+++ b/internal/node/sent_ahead_test.go
@@ -41,3 +41,12 @@
 		t.Errorf("taken for one that has gone: %+v", left)
 	}
 }
+
+// A client sends more behind its request than the system takes in and closes its connection, whose
+// end stays behind those bytes where nobody can see it. Its request is sent on though it has gone.
+func TestClientLeavesBehindMoreThanTheSystemTakesIn(t *testing.T) {
+	const bytesAhead = 320 << 10 // the receive buffer is 128 KiB at first
+	if attempts, left := leaveWhileDialing(t, bytes.Repeat([]byte("x"), bytesAhead)); attempts != 0 {
+		t.Errorf("%d bytes ahead: sent on %d times for a client that had gone, %+v", bytesAhead, attempts, left)
+	}
+}
