Name bounds minX and maxX in internal/node and policy

Some thirty constants bore the earlier style's least and most. Renamed word by word; mostOut of the module stays, since maxOut is there.

--- a/internal/node/ahead.go
+++ b/internal/node/ahead.go
@@ -7,10 +7,10 @@
 	"syscall"
 )
 
-// mostAhead is how many bytes are read of what a client sends before it has its answer:
+// maxAhead is how many bytes are read of what a client sends before it has its answer:
 // the largest head, for each connection that may be open. What is behind stays in the
 // system's buffer.
-const mostAhead = mostHead
+const maxAhead = maxHead
 
 // States of a TCP connection in which its other end may still read, as Linux numbers them.
 const (
@@ -78,7 +78,7 @@
 func (cc *clientConn) hidden() bool {
 	cc.ahead.mu.Lock()
 	defer cc.ahead.mu.Unlock()
-	return len(cc.ahead.buf) >= mostAhead
+	return len(cc.ahead.buf) >= maxAhead
 }
 
 // gone tells whether the client has closed its connection, ended its sending or broken
@@ -102,8 +102,8 @@
 	left := false
 	err = raw.Control(func(fd uintptr) {
 		var b [2 << 10]byte
-		for len(a.buf) < mostAhead {
-			n, _, err := syscall.Recvfrom(int(fd), b[:min(len(b), mostAhead-len(a.buf))], syscall.MSG_DONTWAIT)
+		for len(a.buf) < maxAhead {
+			n, _, err := syscall.Recvfrom(int(fd), b[:min(len(b), maxAhead-len(a.buf))], syscall.MSG_DONTWAIT)
 			switch {
 			case err == syscall.EAGAIN || err == syscall.EINTR: // the next look sees more
 				return
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -213,7 +213,7 @@
 		"half a request there": func(n *running, c net.Conn) { _, _ = io.WriteString(c, crossing[:20]); n.server.shutIdle(0) },
 	} {
 		t.Run(name, func(t *testing.T) {
-			a := newApp(t, answer("200 OK", "", strings.Repeat("h", mostBody)))
+			a := newApp(t, answer("200 OK", "", strings.Repeat("h", maxBody)))
 			n := nodeWith(t, a.addr())
 			n.alone(t)
 			c := dialNarrow(t, n)
@@ -249,7 +249,7 @@
 			if err != nil {
 				t.Fatalf("the answer is lost: %v", err)
 			}
-			if b, err := io.ReadAll(resp.Body); len(b) != mostBody || err != nil {
+			if b, err := io.ReadAll(resp.Body); len(b) != maxBody || err != nil {
 				t.Errorf("%d bytes of the answer, then %v", len(b), err)
 			}
 			if _, err := io.Copy(io.Discard, c); err != nil {
--- a/internal/node/descriptors.go
+++ b/internal/node/descriptors.go
@@ -13,7 +13,7 @@
 	clientPart, serverPart = 0.5, 0.35
 	ownDescriptors         = 19 // of the runtime, log, listeners, snapshots, the file; four of operators
 
-	leastCalls, descriptorsPerCall = 2, 16 // for calls to discovery beside one another
+	minCalls, descriptorsPerCall = 2, 16 // for calls to discovery beside one another
 )
 
 // descriptors tells how many a file leaves to clients and to app servers.
@@ -38,7 +38,7 @@
 
 // callsFor is how many calls to discovery may be out beside one another with so many
 // descriptors.
-func callsFor(n int) int { return min(maxCalls, max(leastCalls, n/descriptorsPerCall)) }
+func callsFor(n int) int { return min(maxCalls, max(minCalls, n/descriptorsPerCall)) }
 
 // parts deals out so many descriptors; each side has one at least.
 func parts(n int) (clients, servers int) {
--- a/internal/node/empty_line_test.go
+++ b/internal/node/empty_line_test.go
@@ -36,7 +36,7 @@
 func TestManyEmptyLinesAreNoRequest(t *testing.T) {
 	n := nodeWith(t, newApp(t, answer("200 OK", "", "hits")).addr())
 	c := dial(t, n)
-	if _, err := c.Write(bytes.Repeat([]byte("\r\n"), mostEmptyLines+1)); err != nil {
+	if _, err := c.Write(bytes.Repeat([]byte("\r\n"), maxEmptyLines+1)); err != nil {
 		t.Fatal(err)
 	}
 	if resp := send(t, c, request(n.url, "lookup", patience))(); resp.StatusCode != http.StatusBadRequest {
--- a/internal/node/keep.go
+++ b/internal/node/keep.go
@@ -124,7 +124,7 @@
 	if l == nil || len(l.Targets) == 0 {
 		return
 	}
-	most := max(largeList, len(l.Targets)/mostParts+1)
+	most := max(largeList, len(l.Targets)/maxParts+1)
 	for _, part := range inParts(l.Rev, l.Targets, most, policy.Remembered, policy.Remembered) {
 		n.loop.events <- part
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -29,7 +29,7 @@
 	backstop     = 3 * time.Millisecond  // and then what the module left open is failed
 	lookEvery    = 50 * time.Millisecond // for clients that have gone away
 	soon         = time.Millisecond      // another edge node may have room at once
-	leastTimer   = time.Microsecond      // a timer of the module's is behind what it is set by
+	minTimer     = time.Microsecond      // a timer of the module's is behind what it is set by
 
 	statusBadRequest, statusConflict = 400, 409
 )
@@ -406,7 +406,7 @@
 			l.finish(c, command{})
 		}
 	case policy.SetTimer:
-		heap.Push(&l.timers, &timer{at: l.clock.now() + max(leastTimer, a.After), token: a.Token})
+		heap.Push(&l.timers, &timer{at: l.clock.now() + max(minTimer, a.After), token: a.Token})
 	case policy.Tell:
 		if l.tell != nil {
 			l.tell(a.To, a.Data)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -12,7 +12,7 @@
 	partLines = 256
 	// Before the start nothing comes between the parts: they are larger where more would
 	// fill the loop's queue.
-	mostParts = eventQueue / 4
+	maxParts = eventQueue / 4
 )
 
 // members hands the loop a list, changes to it, or a part of either.
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -9,11 +9,11 @@
 
 // Bounds of one HTTP/1.1 message.
 const (
-	mostBody   = 64 << 10
-	mostHead   = 16 << 10
-	mostFields = 100
-	mostLine   = 256 // of a chunk's size, with its extensions
-	leastBuf   = 2 << 10
+	maxBody   = 64 << 10
+	maxHead   = 16 << 10
+	maxFields = 100
+	maxLine   = 256 // of a chunk's size, with its extensions
+	minBuf    = 2 << 10
 )
 
 // What is wrong with a message. After any of these nothing more can be read
@@ -39,8 +39,8 @@
 // begin lets go of the message before.
 func (s *stream) begin() {
 	rest := s.buf[s.off:]
-	if cap(s.buf) > 2*leastBuf && len(rest) < leastBuf {
-		s.buf = append(make([]byte, 0, leastBuf), rest...)
+	if cap(s.buf) > 2*minBuf && len(rest) < minBuf {
+		s.buf = append(make([]byte, 0, minBuf), rest...)
 	} else {
 		s.buf = s.buf[:copy(s.buf, rest)]
 	}
@@ -59,7 +59,7 @@
 // more reads what comes next, at least a byte.
 func (s *stream) more() error {
 	if len(s.buf) == cap(s.buf) {
-		s.buf = append(make([]byte, 0, max(leastBuf, 2*cap(s.buf))), s.buf...)
+		s.buf = append(make([]byte, 0, max(minBuf, 2*cap(s.buf))), s.buf...)
 	}
 	n, err := s.src.Read(s.buf[len(s.buf):cap(s.buf)])
 	s.buf = s.buf[:len(s.buf)+n]
@@ -123,7 +123,7 @@
 
 // readHead reads a head that begins with start.
 func (s *stream) readHead(h *head, start string) error {
-	b, err := s.lines(start, true, mostHead)
+	b, err := s.lines(start, true, maxHead)
 	if err != nil {
 		return err
 	}
@@ -133,7 +133,7 @@
 		var line []byte
 		line, b, _ = bytes.Cut(b, []byte("\r\n"))
 		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) || len(h.fields) == mostFields {
+		if !ok || !isToken(name) || len(h.fields) == maxFields {
 			return errSyntax // a folded line and a blank before the colon too
 		}
 		h.fields = append(h.fields, field{name, bytes.Trim(value, " \t")})
@@ -152,7 +152,7 @@
 		if h.length, n = decimal(length); n == 0 {
 			return errFraming
 		}
-		if h.length > mostBody {
+		if h.length > maxBody {
 			return errLongBody
 		}
 	case m == 1:
@@ -203,7 +203,7 @@
 	}
 	var body []byte
 	for h.length == -1 {
-		line, err := s.lines("", false, mostLine)
+		line, err := s.lines("", false, maxLine)
 		if err != nil {
 			return nil, err
 		}
@@ -212,7 +212,7 @@
 		switch {
 		case !ok:
 			return nil, errFraming
-		case len(body)+n > mostBody:
+		case len(body)+n > maxBody:
 			return nil, errLongBody
 		case n == 0:
 			return body, s.trailer()
@@ -232,7 +232,7 @@
 // rest reads the body that the end of the connection ends.
 func (s *stream) rest() ([]byte, error) {
 	for {
-		if s.buffered() > mostBody {
+		if s.buffered() > maxBody {
 			return nil, errLongBody
 		}
 		switch err := s.more(); err {
@@ -247,8 +247,8 @@
 
 // trailer passes over what follows the last chunk.
 func (s *stream) trailer() error {
-	for range mostFields {
-		line, err := s.lines("", false, mostHead)
+	for range maxFields {
+		line, err := s.lines("", false, maxHead)
 		if err != nil {
 			return err
 		}
--- a/internal/node/message_test.go
+++ b/internal/node/message_test.go
@@ -32,7 +32,7 @@
 		if err != nil {
 			return
 		}
-		if len(c.req.body) > mostBody {
+		if len(c.req.body) > maxBody {
 			t.Fatalf("a body of %d bytes", len(c.req.body))
 		}
 		br := bufio.NewReader(bytes.NewReader(data))
@@ -91,12 +91,12 @@
 
 // The buffer grows with a large message and is let go after it.
 func TestStreamLetsGo(t *testing.T) {
-	s := stream{src: strings.NewReader(strings.Repeat("a", mostBody) + "b")}
-	if b, err := s.take(mostBody); err != nil || len(b) != mostBody {
+	s := stream{src: strings.NewReader(strings.Repeat("a", maxBody) + "b")}
+	if b, err := s.take(maxBody); err != nil || len(b) != maxBody {
 		t.Fatal(len(b), err)
 	}
 	s.begin()
-	if b, err := s.take(1); err != nil || string(b) != "b" || cap(s.buf) > 2*leastBuf {
+	if b, err := s.take(1); err != nil || string(b) != "b" || cap(s.buf) > 2*minBuf {
 		t.Errorf("%q, %v, %d bytes kept", b, err, cap(s.buf))
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -226,7 +226,7 @@
 		"NUL":                    post + "X-A: b\x00\r\nContent-Length: 0\r\n\r\n" + get,
 		"no colon":               post + "X-A\r\nContent-Length: 0\r\n\r\n" + get,
 		"two hosts":              post + "Host: other\r\nContent-Length: 0\r\n\r\n" + get,
-		"empty lines ahead":      strings.Repeat("\r\n", mostEmptyLines+1) + get,
+		"empty lines ahead":      strings.Repeat("\r\n", maxEmptyLines+1) + get,
 		"bare LF ahead":          "\n" + get,
 		"bare CR ahead":          "\r" + get,
 		"blank line ahead":       " \r\n" + get,
@@ -385,8 +385,8 @@
 	c = dial(t, n)
 	bad := strings.Repeat("GET /none HTTP/1.1\r\nX-Request-Id: 1\r\nX-Class: none\r\n\r\n", 50)
 	_, _ = io.WriteString(c, bad)
-	if all, _ := io.ReadAll(c); strings.Count(string(all), "HTTP/1.1 400 ") != mostBad {
-		t.Errorf("%d answers to useless requests, want %d", strings.Count(string(all), "HTTP/1.1 400 "), mostBad)
+	if all, _ := io.ReadAll(c); strings.Count(string(all), "HTTP/1.1 400 ") != maxBad {
+		t.Errorf("%d answers to useless requests, want %d", strings.Count(string(all), "HTTP/1.1 400 "), maxBad)
 	}
 }
 
@@ -562,9 +562,9 @@
 		return answer("200 OK", "", body)(c, r, body)
 	})
 	n := nodeWith(t, a.addr())
-	want := strings.Repeat("0123456789abcdef", mostBody/16)
+	want := strings.Repeat("0123456789abcdef", maxBody/16)
 	r := request(n.url, "loan", patience)
-	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(want)), mostBody
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(want)), maxBody
 	r.Header.Set("X-Padding", strings.Repeat("p", 8<<10))
 	if resp, body := ask(t, r); resp.StatusCode != 200 || body != want {
 		t.Errorf("%d, %d bytes", resp.StatusCode, len(body))
@@ -689,15 +689,15 @@
 	for _, d := range []struct {
 		c    *net.UDPConn
 		text string
-	}{{stranger, "hello"}, {peer, strings.Repeat("x", mostDatagram+1)}, {peer, strings.Repeat("y", mostDatagram)}} {
+	}{{stranger, "hello"}, {peer, strings.Repeat("x", maxDatagram+1)}, {peer, strings.Repeat("y", maxDatagram)}} {
 		if _, err := d.c.WriteToUDPAddrPort([]byte(d.text), me); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if m := <-heard; m.from != 0 || m.text != strings.Repeat("y", mostDatagram) {
+	if m := <-heard; m.from != 0 || m.text != strings.Repeat("y", maxDatagram) {
 		t.Errorf("heard %d bytes of %d", len(m.text), m.from)
 	}
-	p.tell(0, make([]byte, mostDatagram+1)) // voids a run: must not go out
+	p.tell(0, make([]byte, maxDatagram+1)) // voids a run: must not go out
 	p.tell(5, []byte("nobody"))
 	p.tell(-1, []byte("all"))
 	_ = peer.SetReadDeadline(time.Now().Add(patience))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	mostDatagram = 256 // bytes
-	peerQueue    = 256 // datagrams that wait to be sent; more are dropped
-	mostFlush    = 100 * time.Millisecond
+	maxDatagram = 256 // bytes
+	peerQueue   = 256 // datagrams that wait to be sent; more are dropped
+	maxFlush    = 100 * time.Millisecond
 )
 
 // peers carries the module's messages to the other edge nodes and back.
@@ -46,7 +46,7 @@
 // never blocks: messages may be lost in any case.
 func (p *peers) tell(to int, data []byte) {
 	switch {
-	case len(data) > mostDatagram || to >= len(p.to):
+	case len(data) > maxDatagram || to >= len(p.to):
 		slog.Error("message to a peer dropped", "to", to, "bytes", len(data))
 	case to >= 0:
 		p.queue(p.to[to], data)
@@ -69,7 +69,7 @@
 // flush waits until what is queued is sent, but not for long: the network may lose
 // it all the same.
 func (p *peers) flush() {
-	sent, late := make(chan struct{}), time.After(mostFlush)
+	sent, late := make(chan struct{}), time.After(maxFlush)
 	select {
 	case p.out <- datagram{sent: sent}:
 	case <-late:
@@ -103,7 +103,7 @@
 	for i, a := range p.to {
 		from[a] = i
 	}
-	buf := make([]byte, mostDatagram+1)
+	buf := make([]byte, maxDatagram+1)
 	for {
 		n, addr, err := p.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
@@ -114,7 +114,7 @@
 			continue
 		}
 		num, known := from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
-		if known && n > 0 && n <= mostDatagram {
+		if known && n > 0 && n <= maxDatagram {
 			p.hear(num, append([]byte(nil), buf[:n]...))
 		}
 	}
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	mostName     = 64  // bytes of a request's id
-	mostKey      = 128 // of an Idempotency-Key
+	maxName      = 64  // bytes of a request's id
+	maxKey       = 128 // of an Idempotency-Key
 	customerHex  = 16
 	customerBits = 33
 )
@@ -76,7 +76,7 @@
 		}
 	}
 	id := r.get("X-Request-Id")
-	if len(id) == 0 || len(id) > mostName || !visible(id) {
+	if len(id) == 0 || len(id) > maxName || !visible(id) {
 		return errors.New("X-Request-Id: missing, too long or not plain")
 	}
 	c.name = string(id)
@@ -124,7 +124,7 @@
 		return fmt.Errorf("class %s: not GET without a body", c.Class)
 	case c.class.Effect != policy.Safe && string(r.method) != "POST":
 		return fmt.Errorf("class %s: not POST", c.Class)
-	case c.class.Effect == policy.Keyed && (len(key) == 0 || len(key) > mostKey || !visible(key)):
+	case c.class.Effect == policy.Keyed && (len(key) == 0 || len(key) > maxKey || !visible(key)):
 		return errors.New("Idempotency-Key: missing, too long or not plain")
 	}
 	return nil
--- a/internal/node/sent_ahead_test.go
+++ b/internal/node/sent_ahead_test.go
@@ -9,13 +9,13 @@
 )
 
 // A client sends a request, much more behind it, and closes its connection before the
-// request's attempt has begun. An edge node reads no more than mostAhead bytes before the
+// request's attempt has begun. An edge node reads no more than maxAhead bytes before the
 // answer, so the end of the connection never came up, and the attempt was written for a client
 // that had gone: /status counted it under sent_on_unseen, and the app server saw the request. The
 // system knows of the end all the same: the connection is in the state CLOSE_WAIT then,
 // whatever is left to read.
 func TestClientLeavesBehindMoreThanIsReadAhead(t *testing.T) {
-	for _, bytesAhead := range []int{mostAhead - 1, mostAhead, mostAhead + 1, 2 * mostAhead} {
+	for _, bytesAhead := range []int{maxAhead - 1, maxAhead, maxAhead + 1, 2 * maxAhead} {
 		if attempts, left := leaveWhileDialing(t, bytes.Repeat([]byte("x"), bytesAhead)); attempts != 0 || left != (Leavers{Dialing: 1}) {
 			t.Errorf("%d bytes ahead: sent on %d times for a client that had gone, %+v", bytesAhead, attempts, left)
 		}
@@ -29,7 +29,7 @@
 	c := dial(t, n)
 	answered := send(t, c, request(n.url, "loan", patience))
 	testkit.Eventually(t, "the request at the app server", func() bool { return a.seen.Load() == 1 })
-	if _, err := c.Write(bytes.Repeat([]byte("x"), 2*mostAhead)); err != nil {
+	if _, err := c.Write(bytes.Repeat([]byte("x"), 2*maxAhead)); err != nil {
 		t.Fatal(err)
 	}
 	n.looks(t)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -18,15 +18,15 @@
 )
 
 const (
-	firstRequest   = 2 * time.Second  // from the connect to the end of the first request
-	wholeRequest   = 2 * time.Second  // from a later request's first byte to its last
-	clientIdle     = 10 * time.Second // between requests
-	writeTimeout   = 5 * time.Second
-	acceptPause    = 5 * time.Millisecond // after an error, doubled with each that follows
-	acceptMost     = time.Second
-	mostEmptyLines = 4                      // passed over ahead of a request
-	mostBad        = 3                      // requests in a row that can't be used, then the connection is closed
-	badPause       = 100 * time.Millisecond // before the next is read: one client must not take the core from others
+	firstRequest  = 2 * time.Second  // from the connect to the end of the first request
+	wholeRequest  = 2 * time.Second  // from a later request's first byte to its last
+	clientIdle    = 10 * time.Second // between requests
+	writeTimeout  = 5 * time.Second
+	acceptPause   = 5 * time.Millisecond // after an error, doubled with each that follows
+	acceptMost    = time.Second
+	maxEmptyLines = 4                      // passed over ahead of a request
+	maxBad        = 3                      // requests in a row that can't be used, then the connection is closed
+	badPause      = 100 * time.Millisecond // before the next is read: one client must not take the core from others
 )
 
 // server is the clients' side: it reads their requests, hands them to the
@@ -294,7 +294,7 @@
 // behind them. What comes behind too many of them is left to be turned away.
 func (s *server) awaitRequest(cc *clientConn, wait time.Duration) bool {
 	for lines := 0; ; {
-		for ; lines < mostEmptyLines && cc.in.dropEmptyLine(); lines++ {
+		for ; lines < maxEmptyLines && cc.in.dropEmptyLine(); lines++ {
 		}
 		if cc.in.buffered() > 0 {
 			return true
@@ -368,7 +368,7 @@
 	503: "Service Unavailable"}
 
 func (cc *clientConn) write(b []byte) error {
-	if cc.out = b; cap(b) > 4*leastBuf {
+	if cc.out = b; cap(b) > 4*minBuf {
 		cc.out = nil // a large one is not kept
 	}
 	if err := cc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -432,7 +432,7 @@
 // bad answers a request that can't be used, at once; the next one waits. A
 // client that sends nothing else is let go.
 func (s *server) bad(cc *clientConn, status int, why string) bool {
-	if cc.bad++; cc.bad < mostBad {
+	if cc.bad++; cc.bad < maxBad {
 		on := s.reply(cc, status, "", why)
 		time.Sleep(badPause)
 		return on
--- a/internal/node/unsolicited.go
+++ b/internal/node/unsolicited.go
@@ -86,7 +86,7 @@
 // readAvailable reads what has come, without waiting.
 func (c *upConn) readAvailable() {
 	if len(c.in.buf) == cap(c.in.buf) {
-		c.in.buf = slices.Grow(c.in.buf, leastBuf)
+		c.in.buf = slices.Grow(c.in.buf, minBuf)
 	}
 	space := c.in.buf[len(c.in.buf):cap(c.in.buf)]
 	_ = c.control(func(fd int) error {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -19,7 +19,7 @@
 const (
 	idlePart    = 0.6 // of the time after which app servers close idle connections
 	graceMargin = 50 * time.Millisecond
-	mostLoad    = 1e6 // a figure beyond is none
+	maxLoad     = 1e6 // a figure beyond is none
 
 	// An idle connection rests before it is used again: what comes behind an
 	// answer must not be taken for the next one.
@@ -389,7 +389,7 @@
 	c.request, c.moreUnread = len(b), false
 	n, err := c.Write(b)
 	whole := n == len(b)
-	if *msg = b; cap(b) <= 4*leastBuf {
+	if *msg = b; cap(b) <= 4*minBuf {
 		buffers.Put(msg)
 	}
 	if !whole {
@@ -475,7 +475,7 @@
 			continue
 		}
 		x, err := strconv.ParseFloat(v, 64)
-		if err != nil || !(x >= 0 && x <= mostLoad) { // NaN is neither
+		if err != nil || !(x >= 0 && x <= maxLoad) { // NaN is neither
 			return nil
 		}
 		out[i] = x
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -84,7 +84,7 @@
 		"no end told":        {raw("HTTP/1.1 200 OK\r\n\r\nhits"), policy.Reset, false},
 		"ended by the close": {raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhits"), policy.OK, false},
 		"reset, no length":   {reset("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhits"), policy.Reset, false},
-		"endless body":       {raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("h", mostBody+1)), policy.Reset, false},
+		"endless body":       {raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("h", maxBody+1)), policy.Reset, false},
 		"stalled, no length": {stays("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhits"), policy.Reset, false},
 		"not HTTP":           {raw("hello\r\n\r\n"), policy.Reset, false},
 		// Spoilt answers, on connections that stay open: the deadline must not be waited for.
--- a/policy/cold_fleet_test.go
+++ b/policy/cold_fleet_test.go
@@ -15,7 +15,7 @@
 	peerDelay     = 20 * ms  // a datagram's way
 	replyDelay    = 2 * ms   // an outcome's way back
 	serverWork    = 100 * ms // mean work of a request on one core
-	mostQueued    = 6        // requests that a server holds beyond its cores before it turns others away
+	maxQueued     = 6        // requests that a server holds beyond its cores before it turns others away
 	fleetServers  = 18
 	returningCold = 6 // of them come back cold
 	joiningCold   = 2 // beside them, new
@@ -187,7 +187,7 @@
 	if warmth < 1 {
 		f.judge(s, warmth, from)
 	}
-	if s.queued >= f.cores+mostQueued {
+	if s.queued >= f.cores+maxQueued {
 		return 0
 	}
 	core := 0
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -68,9 +68,9 @@
 	handedHead = 2 + 29
 	handedSize = 10 // of a grant
 
-	handTries   = 4    // a part is said so often at most,
-	handAtOnce  = 20   // so many parts at once: each takes a place in somebody's intake of datagrams
-	mostAdopted = 4096 // and so many are remembered
+	handTries  = 4    // a part is said so often at most,
+	handAtOnce = 20   // so many parts at once: each takes a place in somebody's intake of datagrams
+	maxAdopted = 4096 // and so many are remembered
 )
 
 func (m *handed) encode() []byte {
@@ -199,14 +199,14 @@
 		case said < handAtOnce:
 			said++
 			p.tries++
-			p.until = g.now + max(leastReply, time.Duration(replySpread*float64(g.reply)))
+			p.until = g.now + max(minReply, time.Duration(replySpread*float64(g.reply)))
 			g.do(Tell{To: p.to, Data: p.data})
 		}
 		return false
 	})
 	switch {
 	case len(g.handing) > 0:
-		g.do(SetTimer{Token: "hand", After: leastReply})
+		g.do(SetTimer{Token: "hand", After: minReply})
 	case g.leaving && !g.told:
 		g.told = true
 		g.endsAgain()
@@ -250,7 +250,7 @@
 func (g *Gateway) first(from int, inc, seq uint32) bool {
 	g.do(Tell{To: from, Data: encode(took{inc, seq})})
 	k := handKey{from, inc, seq}
-	if _, twice := g.adopted[k]; twice || len(g.adopted) >= mostAdopted {
+	if _, twice := g.adopted[k]; twice || len(g.adopted) >= maxAdopted {
 		return false
 	}
 	g.adopted[k] = g.now + forgetAfter
--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -205,7 +205,7 @@
 	w := newCluster(t, 300, servers)
 	for _, g := range w.gs { // the warm ones are all slow
 		for _, s := range g.fleet[1:] {
-			s.slow = mostPace
+			s.slow = maxPace
 		}
 	}
 	id := 0
@@ -494,7 +494,7 @@
 	}
 	play()
 	for i, servers := range by {
-		if len(servers) > leastSet {
+		if len(servers) > minSet {
 			t.Errorf("gateway %d uses %d servers", i, len(servers))
 		}
 	}
@@ -511,7 +511,7 @@
 		w.do(i, Members{Kind: Changes, Servers: own})
 	}
 	play()
-	if len(by[0]) == 0 || len(by[0]) > leastSet {
+	if len(by[0]) == 0 || len(by[0]) > minSet {
 		t.Errorf("once its own drain, gateway 0 uses %d others", len(by[0]))
 	}
 }
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -104,7 +104,7 @@
 	if !(pace > 0) { // NaN is not
 		return 1
 	}
-	return min(max(pace, 1/mostPace), mostPace)
+	return min(max(pace, 1/maxPace), maxPace)
 }
 
 // letGo drops what was kept of the token buckets once a fresh start would come to the
--- a/policy/memory_test.go
+++ b/policy/memory_test.go
@@ -167,7 +167,7 @@
 		{"another process", known(7*ms, 4), 0, 1, 1, false},
 		{"clock back", known(ms, 4), -time.Hour, 4, 4, true},
 		{"not a number", known(ms, math.NaN()), 0, 1, 1, true},
-		{"huge", known(ms, math.Inf(1)), 0, mostPace, mostPace, true},
+		{"huge", known(ms, math.Inf(1)), 0, maxPace, maxPace, true},
 		{"another server", []ServerMemory{{ID: 9, Slow: 5}}, 0, 1, 1, false},
 	} {
 		w := newWorld(t, base(), started)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,7 +21,7 @@
 	reportShare      = 0.75 // of a gateway's intake of datagrams, for reports
 	minTick, maxTick = 25 * time.Millisecond, 250 * time.Millisecond
 	staleTicks       = 6    // ticks; an older report gives way to the demand split
-	leastWeight      = 0.33 // of a silent peer's demand, to which it fades
+	minWeight        = 0.33 // of a silent peer's demand, to which it fades
 	forgetAfter      = 10 * time.Second
 	demandSpan       = 2 * time.Second       // memory of the demand rates
 	blindExtra       = 25 * time.Millisecond // time a report travels
@@ -31,12 +31,12 @@
 	evenRate, evenLeast    = 0.02, 0.05 // demand of each taken for granted: of the rate, units a second
 	arriveSlack, freeSlack = 0.5, 0.25  // of a place that counts as one, at arrival and later
 	jitter                 = 0.2        // spread of a prediction, so that none is left untried
-	mostLatency            = 4.0        // a latency counts for so many means at most
+	maxLatency             = 4.0        // a latency counts for so many means at most
 	choices                = 4          // servers compared for an attempt
 	zonePrice              = 25.0       // service times that a charge of one for another zone is worth
 	queueWeight            = 0.5        // what each attempt out adds to a server's latency, in service times
 	waitAim                = 0.15       // a server is full when the wait passes this part of the shortest aim
-	leastOut               = 2.5        // but not below this many attempts out
+	minOut                 = 2.5        // but not below this many attempts out
 	retryReserve           = 0.3        // part of the token bucket that clients' repeats leave to first tries
 	pressedFor             = 200 * time.Millisecond
 	holdAim                = 0.35             // a request is held for this part of its aim
@@ -48,7 +48,7 @@
 	retryEarn, retryCap    = 0.15, 12.0      // retry budget earned by each first attempt, most kept
 	coldTurns              = 2.0             // turns in FallTime at a cold server
 
-	leastLate               = 0.1       // an attempt is overdue after this part of its aim at the soonest,
+	minLate                 = 0.1       // an attempt is overdue after this part of its aim at the soonest,
 	overdue                 = 4.0       // when so many times as old as predicted
 	sightWeight, sightLimit = 0.2, 0.45 // weight of a failure, average that puts a server out of use
 	trialWorth              = 0.6       // what a good trial leaves of a server's failures
@@ -72,7 +72,7 @@
 	rootAsks      = 3                     // times a root is asked before its deputy is
 	freshPart     = 0.8                   // part of a token bucket that a root just started presumes
 	deputyPart    = 0.25                  // part of a hard ceiling that the deputy holds
-	leastReply    = 30 * time.Millisecond // an answer is waited for this long at least
+	minReply      = 30 * time.Millisecond // an answer is waited for this long at least
 	replySpread   = 2.5                   // and for this many mean times
 	isolatedAfter = 4                     // as many asks as one request takes, and no word from anybody
 	fitLearn      = 0.05                  // weight of a root's word in what part of a plan's requests fits
@@ -82,14 +82,14 @@
 	verdictLife   = 8 * time.Second       // a verdict not told again lapses
 	otherZone     = 0.7                   // weight of a server in another zone
 	zoneTurns     = 12                    // a multiple of 2, 3, 4 and 6: the zones there may be
-	leastSet      = 20                    // servers that a gateway keeps to: enough to even out slow ones,
-	leastSets     = 8.0                   // but as many as have each server in so many gateways' sets
-	mostSet       = 128.0                 // up to this many
+	minSet        = 20                    // servers that a gateway keeps to: enough to even out slow ones,
+	minSets       = 8.0                   // but as many as have each server in so many gateways' sets
+	maxSet        = 128.0                 // up to this many
 	widerSet      = 8                     // times as many are looked at where half can't be used
 	asGood        = 0.02                  // errors, and the log of a pace, that are as good as none
 
 	letSpan, creditSpan       = 4 * time.Second, time.Second / 2 // of what roots let in; what of it at once
-	mostPace, paceLearn       = 12.0, 0.025                      // most a pace is taken for, weight in it
+	maxPace, paceLearn        = 12.0, 0.025                      // most a pace is taken for, weight in it
 	verdictShare, verdictKeep = 0.1, 2.0                         // part of the intake, most at once
 )
 
@@ -111,7 +111,7 @@
 	if g.tree = g.tick > treeTick && s.CanTell; g.tree {
 		g.own = 0 // what the watchers tell is more than what this gateway sees
 	}
-	g.nextTag, g.reply = g.rng.Uint32(), leastReply
+	g.nextTag, g.reply = g.rng.Uint32(), minReply
 	if !g.tree {
 		g.allPeers()
 	}
@@ -251,7 +251,7 @@
 	}
 	if g.silent(v.p) {
 		fade := math.Exp(-(g.now - max(v.p.at, g.start)).Seconds() / forgetAfter.Seconds())
-		w = max(w, c.rate) * (leastWeight + (1-leastWeight)*fade)
+		w = max(w, c.rate) * (minWeight + (1-minWeight)*fade)
 	}
 	return w/demandSpan.Seconds() + g.even(c)
 }
@@ -506,7 +506,7 @@
 // held here, where they can still go elsewhere or be refused.
 func (g *Gateway) full(s *server) bool {
 	load := g.load(s) / g.sizeOf(s)
-	return load >= leastOut && g.mean*s.slow/g.coldness(s)*queueWeight*load > waitAim*g.minAim
+	return load >= minOut && g.mean*s.slow/g.coldness(s)*queueWeight*load > waitAim*g.minAim
 }
 
 // usable tells whether a request may go to a server at all: running, not
@@ -646,14 +646,14 @@
 	group := g.groupOf(r)
 	list := g.working
 	if group != nil {
-		list = g.along(group, min(leastSet, group.len()))
+		list = g.along(group, min(minSet, group.len()))
 	}
 	ok, doubted := g.sortOut(list, r)
 	if len(ok) > len(doubted) {
 		return ok
 	}
 	if group != nil {
-		list = g.along(group, min(leastSet*widerSet, group.len()))
+		list = g.along(group, min(minSet*widerSet, group.len()))
 	} else {
 		list = g.widerRuns()
 	}
@@ -672,8 +672,8 @@
 // setSize is how many servers a gateway keeps to: enough to even out slow ones, and
 // to have each server in some gateways' sets, whose traffic differs.
 func (g *Gateway) setSize() float64 {
-	each := leastSets * float64(g.live) / float64(g.set.Gateways)
-	return min(max(leastSet, each), mostSet)
+	each := minSets * float64(g.live) / float64(g.set.Gateways)
+	return min(max(minSet, each), maxSet)
 }
 
 // keepTo picks the servers that this gateway of a large fleet keeps to. Were each to
@@ -749,10 +749,10 @@
 		}
 		base := (1 + queueWeight*r.load/g.sizeOf(s)) / g.coldness(s)
 		lat := ev.Latency.Seconds() / base
-		s.slow += g.own * (min(lat/r.cl.mean, mostPace) - s.slow)
+		s.slow += g.own * (min(lat/r.cl.mean, maxPace) - s.slow)
 		g.mean += learnMean * (r.cl.mean - g.mean)
 		r.cl.seen++ // the first outcomes count for more
-		r.cl.mean += max(learnMean, 1/(r.cl.seen+1)) * (min(lat, mostLatency*r.cl.mean) - r.cl.mean)
+		r.cl.mean += max(learnMean, 1/(r.cl.seen+1)) * (min(lat, maxLatency*r.cl.mean) - r.cl.mean)
 	case Full:
 		// It may turn away one plan only: this one goes elsewhere for a while.
 		s.fullAt[r.c.plan] = g.now + fullFor
@@ -779,7 +779,7 @@
 func (g *Gateway) silence(s *server) {
 	for _, r := range slices.Clone(s.oldest) {
 		g.renew(r)
-		age := (g.now - r.sentAt).Seconds() / max(g.predict(s, r.cl), leastLate*r.cl.Aim.Seconds())
+		age := (g.now - r.sentAt).Seconds() / max(g.predict(s, r.cl), minLate*r.cl.Aim.Seconds())
 		v := g.record(s, r.cl)
 		if age < overdue || r.over || r.quit || r.stream || v != nil && v.okAt > r.sentAt {
 			continue
@@ -917,7 +917,7 @@
 	}
 	r.root, r.askedAt = to, g.now
 	r.asked++
-	wait := max(leastReply, time.Duration(replySpread*float64(g.reply)))
+	wait := max(minReply, time.Duration(replySpread*float64(g.reply)))
 	r.until = min(g.now+wait, r.deadline-2*g.set.Resolution)
 	g.asks[r.tag] = r
 	g.asking = append(g.asking, r)
@@ -934,7 +934,7 @@
 func (g *Gateway) alone(r *request) bool {
 	q := r.c.plan
 	worth := q.fits + (1-q.fits)*(q.BeyondEarns-q.BeyondCosts)
-	pass := !r.repeat && g.credit >= 1 && worth > 1-g.credit/g.mostCredit()
+	pass := !r.repeat && g.credit >= 1 && worth > 1-g.credit/g.maxCredit()
 	if pass {
 		g.credit--
 	}
@@ -1065,7 +1065,7 @@
 // requests away is taken for very slow: it gets few more until it answers.
 func (g *Gateway) gather(s *server, class int, code Code, latency time.Duration) {
 	v, mean := &s.by[class], g.classes[g.set.Classes[class].Name].mean
-	seen := min(latency.Seconds()/mean*g.coldness(s), mostPace)
+	seen := min(latency.Seconds()/mean*g.coldness(s), maxPace)
 	switch code {
 	case OK:
 		v.errs *= 1 - sightWeight
@@ -1073,7 +1073,7 @@
 			v.errs, v.wait = v.errs*trialWorth, 0
 		}
 	case Full:
-		seen = mostPace
+		seen = maxPace
 	case ConnectFailed:
 		for i := range s.by {
 			s.by[i].errs += 2 * sightWeight * (1 - s.by[i].errs)
--- a/policy/serverlist_test.go
+++ b/policy/serverlist_test.go
@@ -255,7 +255,7 @@
 	if each > 200 {
 		t.Errorf("%.0f bytes a server, 200 at most", each)
 	}
-	if n := len(w.g.fleet); n > mostSet {
+	if n := len(w.g.fleet); n > maxSet {
 		t.Errorf("state of %d servers", n)
 	}
 	runtime.KeepAlive(list)
--- a/policy/state.go
+++ b/policy/state.go
@@ -382,13 +382,13 @@
 // earn has the credit grow by what roots let in of late, and that fade.
 func (g *Gateway) earn(dt time.Duration) {
 	part := dt.Seconds() / letSpan.Seconds()
-	g.credit = min(g.credit+g.lets*part, g.mostCredit())
+	g.credit = min(g.credit+g.lets*part, g.maxCredit())
 	if !g.isolated() {
 		g.lets *= math.Exp(-part)
 	}
 }
 
-func (g *Gateway) mostCredit() float64 { return 1 + g.lets*creditSpan.Seconds()/letSpan.Seconds() }
+func (g *Gateway) maxCredit() float64 { return 1 + g.lets*creditSpan.Seconds()/letSpan.Seconds() }
 
 // byWeight draws a server by weight.
 func (g *Gateway) byWeight(list []*server) *server {
--- a/policy/workingset_test.go
+++ b/policy/workingset_test.go
@@ -51,14 +51,14 @@
 				t.Fatalf("%+v: set of gateway %d in %d zones", size, me, len(zones))
 			}
 		}
-		fewest, mostSets := math.MaxInt, 0
+		fewest, maxSets := math.MaxInt, 0
 		for _, n := range sets {
-			fewest, mostSets = min(fewest, n), max(mostSets, n)
+			fewest, maxSets = min(fewest, n), max(maxSets, n)
 		}
 		want := sharing(t, l, 0, size.gateways).setSize() * float64(size.gateways) / float64(size.servers)
-		t.Logf("%+v: sets of %d to %d servers, each server in %d to %d sets, evenly in %.1f", size, least, most, fewest, mostSets, want)
-		if len(sets) != size.servers || float64(fewest) < want-3 || float64(mostSets) > want+3 {
-			t.Errorf("%+v: %d servers in %d to %d sets, evenly they would be in %.1f", size, len(sets), fewest, mostSets, want)
+		t.Logf("%+v: sets of %d to %d servers, each server in %d to %d sets, evenly in %.1f", size, least, most, fewest, maxSets, want)
+		if len(sets) != size.servers || float64(fewest) < want-3 || float64(maxSets) > want+3 {
+			t.Errorf("%+v: %d servers in %d to %d sets, evenly they would be in %.1f", size, len(sets), fewest, maxSets, want)
 		}
 	}
 }
@@ -85,7 +85,7 @@
 // One server that comes, goes, drains or is replaced moves a few members of any set. A zone
 // that is lost takes its own members, and its place is taken by more of the others.
 func TestWorkingSetsMoveLittle(t *testing.T) {
-	const mostMoved = 2
+	const maxMoved = 2
 	for _, size := range fleetSizes[1:] {
 		servers := spreadOut(size.servers, size.zones)
 		g := sharing(t, listOf(servers), size.gateways/3, size.gateways)
@@ -109,7 +109,7 @@
 			most, sum = max(most, n), sum+n
 		}
 		t.Logf("%+v: %d members moved in 400 changes, %d at most in one", size, sum, most)
-		if most > mostMoved {
+		if most > maxMoved {
 			t.Errorf("%+v: %d members moved at one change", size, most)
 		}
 		lost := Members{Kind: Changes}
@@ -167,10 +167,10 @@
 		w.do(Members{Kind: Changes, Servers: []Server{changed}})
 		entries := w.g.list.entries() - before
 		t.Logf("%d servers: %d for a request, %d for a tick, %d entries for a change", n, request, tick, entries)
-		if request == 0 || request > mostSet || tick > 2*mostSet {
+		if request == 0 || request > maxSet || tick > 2*maxSet {
 			t.Errorf("%d servers: %d looked at for a request, %d for a tick", n, request, tick)
 		}
-		if most := mostSet * 5 * math.Log2(float64(n)); float64(entries) > most {
+		if most := maxSet * 5 * math.Log2(float64(n)); float64(entries) > most {
 			t.Errorf("%d servers: %d entries looked at for a change, %.0f at most", n, entries, most)
 		}
 	}
@@ -261,7 +261,7 @@
 		if n := looked(w.g, func() {
 			_, acts := w.ask("safe", "free", "c", 1)
 			sends = of[Send](acts)
-		}); n > mostSet*(widerSet+1) {
+		}); n > maxSet*(widerSet+1) {
 			t.Errorf("%s: %d looked at", c.name, n)
 		}
 		if len(sends) != 1 || inner[sends[0].Server] || newcomers(inner, members(w.g)) != 0 {
@@ -282,7 +282,7 @@
 		if newcomers(inner, members(w.g)) != 0 {
 			t.Errorf("%s: %d of %d others in the set", c.name, newcomers(inner, members(w.g)), len(inner))
 		}
-		if len(w.g.fleet) > 2*mostSet {
+		if len(w.g.fleet) > 2*maxSet {
 			t.Errorf("%s: state of %d servers is kept", c.name, len(w.g.fleet))
 		}
 	}
@@ -303,7 +303,7 @@
 			t.Errorf("%v with all of the set and more out of use", acts)
 		}
 	})
-	if n > mostSet*(widerSet+1) {
+	if n > maxSet*(widerSet+1) {
 		t.Errorf("%d looked at", n)
 	}
 	before := members(w.g)
@@ -346,7 +346,7 @@
 		if a.Zone != b.Zone || class == "cell" && a.Cell != b.Cell {
 			t.Errorf("%s: sent to %+v after %+v", class, b, a)
 		}
-		if n > mostSet {
+		if n > maxSet {
 			t.Errorf("%s: %d looked at", class, n)
 		}
 		// With the whole group out of use, and no server of it left, nothing goes elsewhere.
@@ -389,7 +389,7 @@
 		t.Errorf("%+v kept for nothing", s)
 	}
 	w.do(PeerMessage{From: 1, Data: encode(verdict{Server: plannedServers + 1, Bad: 1, Pace: paceByte(4)})})
-	if len(w.g.servers) > mostSet {
+	if len(w.g.servers) > maxSet {
 		t.Errorf("state of %d servers, one of none in the list", len(w.g.servers))
 	}
 }
