Name load ratio, warm-up and shutdown state as the field does

strain, gate, coldness, mayWarm and coldTurn in the module, departure, leavers, ahead, pulse and presence in internal/node are load ratio, admitted part, warm-up fraction, admission and slot, shutdown state, disconnect counts, read-ahead, heartbeat and client state now; comments that named them follow, and two files are named after what they hold.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -263,7 +263,7 @@
 	out := status{Name: s.Name, Ready: s.Ready, Phase: s.Phase,
 		Generation: generation{s.Current.Number, s.Current.Digest, s.Current.Time},
 		Loop:       loopLag{milliseconds(s.Lag), milliseconds(s.MostLag), s.Looks},
-		Left:       leavers(s.Leavers),
+		Left:       leavers(s.Disconnects),
 		Stray:      unsolicited(s.Unsolicited)}
 	if s.Before != nil {
 		out.Before = &generation{s.Before.Number, s.Before.Digest, s.Before.Time}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -47,7 +47,7 @@
 		Current: &config.Generation{Number: 4, Digest: "d4", Time: time.Unix(4, 0)},
 		Before:  &config.Generation{Number: 3, Digest: "d3", Time: time.Unix(3, 0)},
 		Refused: &config.Refusal{Digest: "d5", Time: time.Unix(5, 0), Err: config.Faults{{Field: "listen", What: "no port"}}}}}
-	o.status.Leavers = node.Leavers{Held: 1, Dialing: 2, Writing: 3, Hidden: 4}
+	o.status.Disconnects = node.Disconnects{Held: 1, Dialing: 2, Writing: 3, Hidden: 4}
 	o.status.Unsolicited = node.Unsolicited{Idle: 5, Write: 6, Answer: 7, Unchecked: 8}
 	o.status.Lag, o.status.MostLag, o.status.Looks = 1500*time.Microsecond, 2*time.Second, 7
 	ln, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -32,8 +32,8 @@
 // looks waits until the loop has looked for clients that have gone, from now on.
 func (r *running) looks(t *testing.T) {
 	t.Helper()
-	from := r.loop.pulse.looks.Load()
-	testkit.Eventually(t, "two looks", func() bool { return r.loop.pulse.looks.Load() >= from+2 })
+	from := r.loop.heartbeat.looks.Load()
+	testkit.Eventually(t, "two looks", func() bool { return r.loop.heartbeat.looks.Load() >= from+2 })
 }
 
 // alone waits until no client is connected.
@@ -61,7 +61,7 @@
 // and the connection that comes up then must not carry it.
 func TestClientLeavesWhileItsDialIsOut(t *testing.T) {
 	for name, ahead := range map[string]string{"": "", "with more sent": "GET /lookup HTTP/1.1\r\nHost: a\r\n\r\n"} {
-		if attempts, left := leaveWhileDialing(t, []byte(ahead)); attempts != 0 || left != (Leavers{Dialing: 1}) {
+		if attempts, left := leaveWhileDialing(t, []byte(ahead)); attempts != 0 || left != (Disconnects{Dialing: 1}) {
 			t.Errorf("%s: sent on %d times for a client that had gone, %+v", name, attempts, left)
 		}
 	}
@@ -69,7 +69,7 @@
 
 // leaveWhileDialing has a client send a request and some bytes behind it, and go while the dial
 // is out. It returns how often the request was sent on, and how its client was noticed to go.
-func leaveWhileDialing(t *testing.T, ahead []byte) (attempts int32, left Leavers) {
+func leaveWhileDialing(t *testing.T, ahead []byte) (attempts int32, left Disconnects) {
 	t.Helper()
 	a := newApp(t, answer("200 OK", "", "hits"))
 	n := nodeWith(t, a.addr())
@@ -84,7 +84,7 @@
 	n.looks(t)
 	let <- struct{}{}
 	n.idle(t)
-	attempts, left = a.seen.Load(), n.Status().Leavers
+	attempts, left = a.seen.Load(), n.Status().Disconnects
 	n.stop()
 	if err := <-n.done; err != nil {
 		t.Error(err)
--- a/internal/node/pulse.go
+++ b/internal/node/heartbeat.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// pulseWindow is how long the worst delay stays to be seen: at least one such
+// lagWindow is how long the worst delay stays to be seen: at least one such
 // window, at most two.
-const pulseWindow = 30 * time.Second
+const lagWindow = 30 * time.Second
 
-// pulse tells how the event loop gets on. The loop beats it once a look; anybody may
+// heartbeat tells how the event loop gets on. The loop beats it once a look; anybody may
 // ask, also while the loop stands still.
-type pulse struct {
+type heartbeat struct {
 	looks atomic.Int64 // beats since the start
 	due   atomic.Int64 // when the loop is to beat next, by its clock; 0: it has not begun
 	worst atomic.Int64 // longest delay of a beat in this window and the one before
@@ -21,8 +21,8 @@
 }
 
 // beat notes that the loop has got on, and when it is to do so next.
-func (p *pulse) beat(now, next time.Duration) {
-	if now-p.began >= pulseWindow {
+func (p *heartbeat) beat(now, next time.Duration) {
+	if now-p.began >= lagWindow {
 		p.before, p.now, p.began = p.now, 0, now
 	}
 	if due := time.Duration(p.due.Load()); due != 0 {
@@ -34,7 +34,7 @@
 }
 
 // lag tells how far the loop is behind, and how far it has been of late.
-func (p *pulse) lag(now time.Duration) (present, worst time.Duration) {
+func (p *heartbeat) lag(now time.Duration) (present, worst time.Duration) {
 	if due := time.Duration(p.due.Load()); due != 0 {
 		present = max(0, now-due)
 	}
--- a/internal/node/pulse_test.go
+++ b/internal/node/heartbeat_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestPulse(t *testing.T) {
-	var p pulse
+	var p heartbeat
 	expect := func(at, present, worst time.Duration) {
 		t.Helper()
 		if got, most := p.lag(at); got != present || most != worst {
@@ -23,14 +23,14 @@
 	expect(13*s, 2*s, 2*s) // standing still
 	p.beat(14*s, 15*s)
 	expect(15*s, 0, 3*s)
-	for at := 15 * s; at < 14*s+pulseWindow; at += s { // on time again
+	for at := 15 * s; at < 14*s+lagWindow; at += s { // on time again
 		p.beat(at, at+s)
 	}
-	expect(14*s+pulseWindow, 0, 3*s)
-	for at := 14*s + pulseWindow; at <= 14*s+3*pulseWindow; at += s {
+	expect(14*s+lagWindow, 0, 3*s)
+	for at := 14*s + lagWindow; at <= 14*s+3*lagWindow; at += s {
 		p.beat(at, at+s)
 	}
-	expect(14*s+3*pulseWindow, 0, 0)
+	expect(14*s+3*lagWindow, 0, 0)
 }
 
 // An event loop that stands still is seen by operators while it does.
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -37,8 +37,8 @@
 	stopHand    = time.Second // what others count on is handed on by then, or missed
 )
 
-// departure is a planned stop as a state machine: time and counts in, steps out.
-type departure struct {
+// shutdownState is a planned stop as a state machine: time and counts in, steps out.
+type shutdownState struct {
 	phase    phase
 	began    time.Duration
 	hastened bool
@@ -54,7 +54,7 @@
 
 // signal takes a request to stop; a second one hastens: nothing is waited for
 // that the front may still send, and what is held is given up.
-func (d *departure) signal(now time.Duration) (s steps) {
+func (d *shutdownState) signal(now time.Duration) (s steps) {
 	switch {
 	case d.phase == phaseServing:
 		d.phase, d.began = leaving, now
@@ -65,16 +65,16 @@
 }
 
 // callOff goes back to serving; it is an error when there is nothing to call off.
-func (d *departure) callOff() error {
+func (d *shutdownState) callOff() error {
 	if d.phase != leaving && d.phase != finishing {
 		return fmt.Errorf("no planned stop to call off: %v", d.phase)
 	}
-	*d = departure{}
+	*d = shutdownState{}
 	return nil
 }
 
 // step looks at how many connections are open and how long ago a request came.
-func (d *departure) step(now time.Duration, open int, quiet time.Duration) (s steps) {
+func (d *shutdownState) step(now time.Duration, open int, quiet time.Duration) (s steps) {
 	past := now - d.began
 	switch d.phase {
 	case leaving:
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -62,7 +62,7 @@
 			{now: stopMost, open: 2, quiet: time.Second, want: stopped, steps: steps{shutIdle: true, end: true}},
 		},
 	} {
-		var d departure
+		var d shutdownState
 		for i, a := range list {
 			var got steps
 			if a.sig {
@@ -78,13 +78,13 @@
 }
 
 func TestCallOff(t *testing.T) {
-	var d departure
+	var d shutdownState
 	if d.callOff() == nil {
 		t.Error("called off what had not begun")
 	}
 	d.signal(time.Second)
 	d.signal(time.Second)
-	if err := d.callOff(); err != nil || d != (departure{}) {
+	if err := d.callOff(); err != nil || d != (shutdownState{}) {
 		t.Errorf("%v, %+v", err, d)
 	}
 	d.signal(time.Minute) // begins anew, and hastens nothing
--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -21,7 +21,7 @@
 // and goes on with leave. The caller holds the mutex.
 func (s *server) end(cc *clientConn) {
 	if s.shut >= s.spare {
-		s.hasten()
+		s.closeOldestLingering()
 	}
 	cc.shut, cc.since = true, s.clock.now()
 	s.shut++
@@ -29,8 +29,8 @@
 	_ = cc.SetReadDeadline(time.Unix(1, 0)) // become sets none any more
 }
 
-// hasten closes the connection that has been given the longest to see its end.
-func (s *server) hasten() {
+// closeOldestLingering closes the connection that has been given the longest to see its end.
+func (s *server) closeOldestLingering() {
 	var oldest *clientConn
 	for cc := range s.conns {
 		if cc.shut && !cc.closed && (oldest == nil || cc.since < oldest.since) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -98,21 +98,21 @@
 	onApply func(gen *config.Generation) // puts its limits in force elsewhere
 	reread  func(c *call) error          // reads a request anew, by the generation in force
 
-	hasty     bool          // a planned stop was hastened
-	ended     bool          // nothing more is to be said or kept
-	keep      *keeper       // nil: no snapshots are kept
-	over      chan struct{} // closed when run has ended
-	events    chan any
-	nextID    policy.RequestID
-	calls     map[policy.RequestID]*call
-	names     map[string]*call // the same by the clients' ids
-	pulse     pulse
-	leftEarly leavers
-	timers    timerHeap
-	timer     *time.Timer
-	wake      time.Duration // when the timer is set for; 0: it is not
-	queue     []policy.Event
-	acts      []policy.Action
+	hasty       bool          // a planned stop was hastened
+	ended       bool          // nothing more is to be said or kept
+	keep        *keeper       // nil: no snapshots are kept
+	over        chan struct{} // closed when run has ended
+	events      chan any
+	nextID      policy.RequestID
+	calls       map[policy.RequestID]*call
+	names       map[string]*call // the same by the clients' ids
+	heartbeat   heartbeat
+	disconnects disconnectCounts
+	timers      timerHeap
+	timer       *time.Timer
+	wake        time.Duration // when the timer is set for; 0: it is not
+	queue       []policy.Event
+	acts        []policy.Action
 }
 
 func newLoop(c clock, g *policy.Gateway, up *upstream) *loop {
@@ -258,9 +258,9 @@
 	switch {
 	case o.a.num > 0:
 	case o.a.left:
-		l.leftEarly.writing.Add(1)
+		l.disconnects.writing.Add(1)
 	case o.a.unseen:
-		l.leftEarly.hidden.Add(1)
+		l.disconnects.hidden.Add(1)
 	}
 	if c.ranAt == 0 && !o.code.NeverRan() {
 		c.ranAt = o.a.sent
@@ -296,12 +296,12 @@
 		}
 		if c.out == nil {
 			if c.attempts == 0 {
-				l.leftEarly.held.Add(1)
+				l.disconnects.held.Add(1)
 			}
 			l.answer(c, command{})
 		} else {
 			if c.out.withdraw() && c.out.num == 0 {
-				l.leftEarly.dialing.Add(1)
+				l.disconnects.dialing.Add(1)
 			}
 			l.forget(c)
 			c.final = &command{}
@@ -310,7 +310,7 @@
 	}
 	now := l.clock.now()
 	heap.Push(&l.timers, &timer{at: now + lookEvery, look: true})
-	l.pulse.beat(now, now+lookEvery)
+	l.heartbeat.beat(now, now+lookEvery)
 }
 
 // finish gives a request its final answer, after calling back an attempt that
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,7 +181,7 @@
 	poll := time.NewTicker(stopPoll)
 	defer poll.Stop()
 	poll.Stop() // until there is a stop to look after
-	var d departure
+	var d shutdownState
 	var s steps
 	for !s.end {
 		s = steps{}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -138,7 +138,7 @@
 	defer conn.Close()
 	l := newLoop(clock{time.Now()}, g, pool(refusing(t)))
 	cc := &clientConn{Conn: conn}
-	cc.ahead.await()
+	cc.readAhead.await()
 	held, out := &call{client: cc, cmd: make(chan command, 1)}, &call{client: cc, cmd: make(chan command, 1)}
 	held.ID, out.ID, out.out = 1, 2, &attempt{id: 2, begun: true}
 	held.due, out.due = l.clock.now()+time.Hour, l.clock.now()+time.Hour
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -274,7 +274,7 @@
 			left++
 		}
 	}
-	t.Logf("seed %d: %d requests, %d answered, %d clients left, lag %v, %+v", seed, len(b.requests), served, left, b.lag, n.Status().Leavers)
+	t.Logf("seed %d: %d requests, %d answered, %d clients left, lag %v, %+v", seed, len(b.requests), served, left, b.lag, n.Status().Disconnects)
 	if served < 20 || left < 5 {
 		t.Error("a play that shows nothing")
 	}
--- a/internal/node/ahead.go
+++ b/internal/node/readahead.go
@@ -19,20 +19,20 @@
 	tcpFinWait2    = 5 // and the other end knows
 )
 
-// leavers counts requests by where their client was noticed to have gone before the first
+// disconnectCounts counts requests by where their client was noticed to have gone before the first
 // attempt was written. None of these is sent on.
-type leavers struct {
+type disconnectCounts struct {
 	held    atomic.Int64 // waiting for room, a root or a server
 	dialing atomic.Int64 // its connection to an app server coming up
 	writing atomic.Int64 // right before the write
 	hidden  atomic.Int64 // none of them: sent on where a client that left could not have been seen
 }
 
-// ahead is what a client has sent behind a request that is not answered yet. The end of
+// readAhead is what a client has sent behind a request that is not answered yet. The end of
 // a connection shows only once all before it is taken in, so whoever wants to know
 // whether the client is still there has to read: the connection's goroutine, which waits
 // for the loop meanwhile, gets it from here afterwards.
-type ahead struct {
+type readAhead struct {
 	mu    sync.Mutex
 	waits bool // for an answer: nobody else reads
 	buf   []byte
@@ -40,14 +40,14 @@
 }
 
 // await marks that the client waits for an answer.
-func (a *ahead) await() {
+func (a *readAhead) await() {
 	a.mu.Lock()
 	a.waits = true
 	a.mu.Unlock()
 }
 
 // answered marks that it waits no longer.
-func (a *ahead) answered() {
+func (a *readAhead) answered() {
 	a.mu.Lock()
 	a.waits = false
 	a.mu.Unlock()
@@ -55,7 +55,7 @@
 
 // Read gives what was read ahead, then what the connection brings.
 func (cc *clientConn) Read(b []byte) (int, error) {
-	a := &cc.ahead
+	a := &cc.readAhead
 	a.mu.Lock()
 	if len(a.buf) > 0 {
 		n := copy(b, a.buf)
@@ -76,16 +76,16 @@
 // hidden tells whether so much was sent ahead that the client's end may not be seen: the system
 // takes in only so many bytes that nobody reads, and the end comes behind all of them.
 func (cc *clientConn) hidden() bool {
-	cc.ahead.mu.Lock()
-	defer cc.ahead.mu.Unlock()
-	return len(cc.ahead.buf) >= maxAhead
+	cc.readAhead.mu.Lock()
+	defer cc.readAhead.mu.Unlock()
+	return len(cc.readAhead.buf) >= maxAhead
 }
 
 // gone tells whether the client has closed its connection, ended its sending or broken
 // off. It may be called at any time, waits for nothing, and is false once the
 // request is answered.
 func (cc *clientConn) gone() bool {
-	a := &cc.ahead
+	a := &cc.readAhead
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.waits || a.end != nil {
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -20,37 +20,37 @@
 
 // Status is what operators see of an edge node.
 type Status struct {
-	Name    string
-	Ready   bool
-	Phase   string // of a planned stop
-	Current *config.Generation
-	Before  *config.Generation // nil: there is none to return to
-	Left    string             // digest of the file that was rolled back from; empty: none
-	Refused *config.Refusal    // the last file, if it was refused
-	Keeping *snapshot.Counts   // how snapshots are written; nil: none are kept
-	Duties  []DutyStatus
-	Lag     time.Duration // how far the event loop is behind now; it grows while the loop stands still
-	MostLag time.Duration // and the most of the last half to whole minute
-	Looks   int64         // of the loop for clients that have gone, since the start: it gets on as long as they grow
-	Leavers Leavers
+	Name        string
+	Ready       bool
+	Phase       string // of a planned stop
+	Current     *config.Generation
+	Before      *config.Generation // nil: there is none to return to
+	Left        string             // digest of the file that was rolled back from; empty: none
+	Refused     *config.Refusal    // the last file, if it was refused
+	Keeping     *snapshot.Counts   // how snapshots are written; nil: none are kept
+	Duties      []DutyStatus
+	Lag         time.Duration // how far the event loop is behind now; it grows while the loop stands still
+	MostLag     time.Duration // and the most of the last half to whole minute
+	Looks       int64         // of the loop for clients that have gone, since the start: it gets on as long as they grow
+	Disconnects Disconnects
 
 	Unsolicited Unsolicited
 }
 
-// Leavers counts the requests whose client left before their first attempt, by where that
+// Disconnects counts the requests whose client left before their first attempt, by where that
 // was noticed: none of them was sent on. Hidden are those sent on whose client had sent so
 // much ahead that its leaving could not have been seen.
-type Leavers struct{ Held, Dialing, Writing, Hidden int64 }
+type Disconnects struct{ Held, Dialing, Writing, Hidden int64 }
 
 // Status may be called at any time; it waits for nothing.
 func (n *Node) Status() Status {
 	s := *n.status.Load()
 	p := phase(n.phase.Load())
 	s.Ready, s.Phase = n.server.ready.Load() && p == phaseServing, p.String()
-	s.Lag, s.MostLag = n.loop.pulse.lag(n.loop.clock.now())
-	s.Looks = n.loop.pulse.looks.Load()
-	left := &n.loop.leftEarly
-	s.Leavers = Leavers{left.held.Load(), left.dialing.Load(), left.writing.Load(), left.hidden.Load()}
+	s.Lag, s.MostLag = n.loop.heartbeat.lag(n.loop.clock.now())
+	s.Looks = n.loop.heartbeat.looks.Load()
+	left := &n.loop.disconnects
+	s.Disconnects = Disconnects{left.held.Load(), left.dialing.Load(), left.writing.Load(), left.hidden.Load()}
 	s.Unsolicited = n.up.unsolicited.load()
 	if n.duties != nil {
 		s.Duties = n.duties.status()
--- a/internal/node/sent_ahead_test.go
+++ b/internal/node/sent_ahead_test.go
@@ -16,7 +16,7 @@
 // whatever is left to read.
 func TestClientLeavesBehindMoreThanIsReadAhead(t *testing.T) {
 	for _, bytesAhead := range []int{maxAhead - 1, maxAhead, maxAhead + 1, 2 * maxAhead} {
-		if attempts, left := leaveWhileDialing(t, bytes.Repeat([]byte("x"), bytesAhead)); attempts != 0 || left != (Leavers{Dialing: 1}) {
+		if attempts, left := leaveWhileDialing(t, bytes.Repeat([]byte("x"), bytesAhead)); attempts != 0 || left != (Disconnects{Dialing: 1}) {
 			t.Errorf("%d bytes ahead: sent on %d times for a client that had gone, %+v", bytesAhead, attempts, left)
 		}
 	}
@@ -37,7 +37,7 @@
 	if resp := answered(); resp.StatusCode != http.StatusOK {
 		t.Errorf("answered %d", resp.StatusCode)
 	}
-	if left := n.Status().Leavers; left != (Leavers{}) {
+	if left := n.Status().Disconnects; left != (Disconnects{}) {
 		t.Errorf("taken for one that has gone: %+v", left)
 	}
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -51,11 +51,11 @@
 // clientConn is a client's connection.
 type clientConn struct {
 	net.Conn
-	in    stream
-	ahead ahead
-	req   clientRequest
-	out   []byte
-	bad   int // requests that couldn't be used since the last that could
+	in        stream
+	readAhead readAhead
+	req       clientRequest
+	out       []byte
+	bad       int // requests that couldn't be used since the last that could
 
 	// Under the server's mutex.
 	state connState
@@ -157,7 +157,7 @@
 		case among(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM): // all are in use
 			s.mu.Lock()
 			s.shutOne()
-			s.hasten() // its descriptor is wanted now
+			s.closeOldestLingering() // its descriptor is wanted now
 			s.mu.Unlock()
 			pause = acceptPause
 		case pause == acceptPause:
@@ -399,7 +399,7 @@
 		return false
 	}
 	c.client = cc
-	cc.ahead.await()
+	cc.readAhead.await()
 	s.events <- c
 	for cmd := range c.cmd {
 		if cmd.attempt == nil {
@@ -421,7 +421,7 @@
 
 // reply answers a request; the connection goes on if both sides want it.
 func (s *server) reply(cc *clientConn, status int, fields, body string) bool {
-	cc.ahead.answered()
+	cc.readAhead.answered()
 	over := s.draining.Load() || cc.req.over() || s.crowded()
 	if over {
 		fields += "Connection: close\r\n"
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -52,8 +52,8 @@
 	return &upstream{clock: c, rest: restFor, fields: loadNames, list: list, idle: map[policy.ServerID][]*upConn{}, reuse: reusePauses{}}
 }
 
-// presence tells of the client that waits for an attempt.
-type presence interface {
+// clientState tells of the client that waits for an attempt.
+type clientState interface {
 	gone() bool
 	hidden() bool // whether it is there can't be seen
 }
@@ -66,7 +66,7 @@
 	sent     time.Duration // when the module asked for it
 	deadline time.Duration // when it is given up
 	writeBy  time.Duration // written later it might run twice: its repeat would not be known as one
-	client   presence      // nil: it can't be asked
+	client   clientState   // nil: it can't be asked
 
 	mu        sync.Mutex
 	cancelled bool
--- a/policy/large_test.go
+++ b/policy/large_test.go
@@ -459,7 +459,7 @@
 	g := w.gs[watcher]
 	s := g.servers[1]
 	for range 200 {
-		latency := g.classes["safe"].mean / g.coldness(s) * 1000
+		latency := g.classes["safe"].mean / g.warmUpFraction(s) * 1000
 		w.do(watcher, PeerMessage{From: (watcher + 1) % 100, Data: encode(sight{Server: 1, Latency: uint16(latency)})})
 	}
 	if s.pace < 0.9 || s.pace > 1.1 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -46,7 +46,7 @@
 	fullFor                = 2 * time.Second
 	anewFor                = 2 * time.Second // a total that begins at nothing is told as such
 	retryEarn, retryCap    = 0.15, 12.0      // retry budget earned by each first attempt, most kept
-	coldTurns              = 2.0             // turns in FallTime at a cold server
+	warmUpSlots            = 2.0             // turns in FallTime at a cold server
 
 	minLate                 = 0.1       // an attempt is overdue after this part of its aim at the soonest,
 	overdue                 = 4.0       // when so many times as old as predicted
@@ -55,13 +55,14 @@
 
 	trialEvery, trialMost = time.Second, 8 * time.Second // between trials of a server out of use
 
-	mostOut = 0.7 // when more are out of use they are used all the same
-	gateAim = 0.6 // mean latency over aim above which the gate closes
+	mostOut     = 0.7 // when more are out of use they are used all the same
+	sheddingAim = 0.6 // mean latency over aim above which load is shed
 
-	gateShut, gateOpen = 3 * time.Second, 8 * time.Second // to 1/e in this time, and opens
-	gateLeast          = 0.25                             // enough to learn from when all is well again
-	strainLife         = 12 * time.Second                 // how fast an old strain is forgotten
-	strainOwn          = 0.15                             // weight of an outcome or a root's word in it
+	sheddingTime    = 3 * time.Second  // in which the part let in falls to 1/e
+	recoveryTime    = 8 * time.Second  // in which it recovers
+	minAdmitted     = 0.25             // enough to learn from when all is well again
+	loadRatioLife   = 12 * time.Second // until 1/e of an old load ratio is left
+	loadRatioWeight = 0.15             // of an outcome, or of a root's message, in it
 
 	// Where reports from all to all are more than their intake bears.
 	departedFor   = 2 * time.Second       // one that told of its end is back by then, or is missed as ever
@@ -107,7 +108,7 @@
 	}
 	mail := max(s.DatagramsPerSecond*reportShare, 1)
 	g.tick = time.Duration(float64(max(s.Gateways-1, 1)) / mail * float64(time.Second))
-	g.own, g.gate = learn, 1
+	g.own, g.admitted = learn, 1
 	if g.tree = g.tick > treeTick && s.CanTell; g.tree {
 		g.own = 0 // what the watchers tell is more than what this gateway sees
 	}
@@ -319,7 +320,7 @@
 	c := r.c
 	c.rate += r.units
 	// With no time left any wait is too long.
-	if r.deadline-g.now <= 2*g.set.Resolution || g.rng.Float64() > g.gate {
+	if r.deadline-g.now <= 2*g.set.Resolution || g.rng.Float64() > g.admitted {
 		g.refuse(r)
 		return
 	}
@@ -400,7 +401,7 @@
 	}
 	c.fresh = repeatTicks
 	g.sent(r, s)
-	if g.taken++; g.coldness(s) < 1 {
+	if g.taken++; g.warmUpFraction(s) < 1 {
 		s.sends = append(s.sends, g.now)
 	}
 	var timeout time.Duration
@@ -484,8 +485,8 @@
 
 // Servers.
 
-// coldness is the least share of its capacity a server surely has.
-func (g *Gateway) coldness(s *server) float64 {
+// warmUpFraction is the least share of its capacity a server surely has.
+func (g *Gateway) warmUpFraction(s *server) float64 {
 	if !s.HasStart || g.set.WarmWithin <= 0 || g.set.ColdShare <= 0 {
 		return 1
 	}
@@ -498,7 +499,7 @@
 
 // predict is the latency in seconds expected of a server for a class.
 func (g *Gateway) predict(s *server, cl *class) float64 {
-	return cl.mean * s.slow * (1 + queueWeight*g.load(s)/g.sizeOf(s)) / g.coldness(s)
+	return cl.mean * s.slow * (1 + queueWeight*g.load(s)/g.sizeOf(s)) / g.warmUpFraction(s)
 }
 
 // full tells whether a server has all the work it can turn round in time: the
@@ -506,7 +507,7 @@
 // held here, where they can still go elsewhere or be refused.
 func (g *Gateway) full(s *server) bool {
 	load := g.load(s) / g.sizeOf(s)
-	return load >= minOut && g.mean*s.slow/g.coldness(s)*queueWeight*load > waitAim*g.minAim
+	return load >= minOut && g.mean*s.slow/g.warmUpFraction(s)*queueWeight*load > waitAim*g.minAim
 }
 
 // usable tells whether a request may go to a server at all: running, not
@@ -517,7 +518,7 @@
 		r.ran && r.cl.Effect == Keyed && (g.now-r.ranAt >= r.cl.Window || !r.sameGroup(s)) {
 		return false
 	}
-	return g.coldness(s) == 1 || g.mayWarm(s)
+	return g.warmUpFraction(s) == 1 || g.admitsWarmUp(s)
 }
 
 // coldPart is how many requests this gateway may send a cold server within FallTime, on
@@ -528,34 +529,34 @@
 	if g.set.FallMultiple <= 0 {
 		return math.MaxInt32 // nothing makes it fall
 	}
-	bears := (g.taken + 1) / max(1, g.capacity) * g.coldness(s) * g.sizeOf(s)
-	return bears * g.set.FallMultiple * coldTurns / (coldTurns + 1)
+	bears := (g.taken + 1) / max(1, g.capacity) * g.warmUpFraction(s) * g.sizeOf(s)
+	return bears * g.set.FallMultiple * warmUpSlots / (warmUpSlots + 1)
 }
 
-// coldChance is the chance that a turn is this gateway's, where it may send a part of a
+// warmUpChance is the chance that a turn is this gateway's, where it may send a part of a
 // request: of the turns in FallTime it has a request to send in as many as it drew servers.
-func (g *Gateway) coldChance(part float64) float64 { return part / min(coldTurns, max(1, g.draws)) }
+func (g *Gateway) warmUpChance(part float64) float64 { return part / min(warmUpSlots, max(1, g.draws)) }
 
-// mayWarm tells whether this gateway may send a cold server one request more. A floor of one
+// admitsWarmUp tells whether this gateway may send a cold server one request more. A floor of one
 // for each would let as many through as there are gateways, however often held requests draw
 // again. So FallTime is cut into turns, and a fraction is the chance that a turn is this
 // gateway's: the places of all are spread evenly, and their turns hold what the parts sum up to.
-func (g *Gateway) mayWarm(s *server) bool {
+func (g *Gateway) admitsWarmUp(s *server) bool {
 	s.sends = slices.DeleteFunc(s.sends, func(t time.Duration) bool { return g.now-t > g.set.FallTime })
 	part := g.coldPart(s)
 	whole := math.Floor(part)
 	if !g.tree {
 		whole = max(1, whole) // all are told the load there
-	} else if g.coldTurn(s) < g.coldChance(part-whole) {
+	} else if g.warmUpSlot(s) < g.warmUpChance(part-whole) {
 		whole++
 	}
 	return float64(len(s.sends)) < whole
 }
 
-// coldTurn is this gateway's place, from 0 to 1, in the order of those that may send a cold
+// warmUpSlot is this gateway's place, from 0 to 1, in the order of those that may send a cold
 // server a request in the present turn.
-func (g *Gateway) coldTurn(s *server) float64 {
-	turn := math.Floor(coldTurns * float64(max(0, g.now-s.Start)) / float64(max(1, g.set.FallTime)))
+func (g *Gateway) warmUpSlot(s *server) float64 {
+	turn := math.Floor(warmUpSlots * float64(max(0, g.now-s.Start)) / float64(max(1, g.set.FallTime)))
 	return fraction(s.place + turn*math.Phi)
 }
 
@@ -715,7 +716,8 @@
 // widerRuns returns a set several times as large. Cold servers beyond the working set are left
 // out: they bear what those that keep to them send.
 func (g *Gateway) widerRuns() []*server {
-	return slices.DeleteFunc(g.runs(widerSet), func(s *server) bool { return !s.kept && g.coldness(s) < 1 })
+	cold := func(s *server) bool { return !s.kept && g.warmUpFraction(s) < 1 }
+	return slices.DeleteFunc(g.runs(widerSet), cold)
 }
 
 // draw chooses a server by its share of the fleet's capacity. A large fleet's gateways don't
@@ -726,9 +728,9 @@
 		if s.Zone != g.set.Zone {
 			s.weight *= otherZone
 		}
-		if cold := g.coldness(s); cold < 1 {
+		if cold := g.warmUpFraction(s); cold < 1 {
 			// What is sent in this gateway's turns makes up for the others'.
-			s.weight *= cold / min(1, g.coldChance(g.coldPart(s)))
+			s.weight *= cold / min(1, g.warmUpChance(g.coldPart(s)))
 		}
 	}
 	return g.byWeight(ok)
@@ -740,14 +742,14 @@
 		g.sight(s, r.cl, ev.Code, ev.Latency)
 	}
 	if ev.Code == OK || ev.Code == TimedOut {
-		g.strain += strainOwn * (min(1, ev.Latency.Seconds()/r.cl.Aim.Seconds()) - g.strain)
+		g.loadRatio += loadRatioWeight * (min(1, ev.Latency.Seconds()/r.cl.Aim.Seconds()) - g.loadRatio)
 	}
 	switch ev.Code {
 	case OK:
 		if v := g.record(s, r.cl); v != nil {
 			v.okAt = g.now
 		}
-		base := (1 + queueWeight*r.load/g.sizeOf(s)) / g.coldness(s)
+		base := (1 + queueWeight*r.load/g.sizeOf(s)) / g.warmUpFraction(s)
 		lat := ev.Latency.Seconds() / base
 		s.slow += g.own * (min(lat/r.cl.mean, maxPace) - s.slow)
 		g.mean += learnMean * (r.cl.mean - g.mean)
@@ -757,20 +759,20 @@
 		// It may turn away one plan only: this one goes elsewhere for a while.
 		s.fullAt[r.c.plan] = g.now + fullFor
 		g.taken = max(0, g.taken-1)
-		g.strain += strainOwn * (1 - g.strain)
+		g.loadRatio += loadRatioWeight * (1 - g.loadRatio)
 	}
 }
 
-// adapt moves the gate by how near latencies come to their aims: a part of the
-// requests is refused. Guards against load this gateway is not told of, on all
+// adapt changes the part of the requests that is let in by how near latencies come to their
+// aims (load shedding). Guards against load this gateway is not told of, on all
 // servers: peers unheard, slow fleets. Harms where aims are near idle latencies.
 func (g *Gateway) adapt(dt time.Duration) {
-	if g.strain > gateAim {
-		g.gate = max(gateLeast, g.gate*math.Exp(-dt.Seconds()/gateShut.Seconds()))
+	if g.loadRatio > sheddingAim {
+		g.admitted = max(minAdmitted, g.admitted*math.Exp(-dt.Seconds()/sheddingTime.Seconds()))
 	} else {
-		g.gate = min(1, g.gate+dt.Seconds()/gateOpen.Seconds())
+		g.admitted = min(1, g.admitted+dt.Seconds()/recoveryTime.Seconds())
 	}
-	g.strain *= math.Exp(-dt.Seconds() / strainLife.Seconds())
+	g.loadRatio *= math.Exp(-dt.Seconds() / loadRatioLife.Seconds())
 }
 
 // silence looks for attempts far older than predicted: they count as failed,
@@ -1021,7 +1023,7 @@
 	if r.c.tokens < retryReserve*r.c.plan.Burst {
 		part = min(1, r.c.plan.Rate*demandSpan.Seconds()/max(r.c.rate, 1))
 	}
-	g.do(Tell{To: r.root, Data: encode(answer{r.tag, v, fill, small(100 * g.strain), small(250 * part)})})
+	g.do(Tell{To: r.root, Data: encode(answer{r.tag, v, fill, small(100 * g.loadRatio), small(250 * part)})})
 }
 
 func (g *Gateway) onAnswer(from int, m answer) {
@@ -1034,7 +1036,7 @@
 		g.reply += time.Duration(learn * float64(g.now-r.askedAt-g.reply))
 	}
 	g.advance(c)
-	g.strain += strainOwn * (float64(m.Strain)/100 - g.strain)
+	g.loadRatio += loadRatioWeight * (float64(m.Strain)/100 - g.loadRatio)
 	c.part, c.partAt = float64(m.Part)/250, g.now
 	c.tokens, c.told = float64(m.Fill)/250*c.plan.Burst, g.ticks+1
 	if m.Verdict == waits {
@@ -1065,7 +1067,7 @@
 // requests away is taken for very slow: it gets few more until it answers.
 func (g *Gateway) gather(s *server, class int, code Code, latency time.Duration) {
 	v, mean := &s.by[class], g.classes[g.set.Classes[class].Name].mean
-	seen := min(latency.Seconds()/mean*g.coldness(s), maxPace)
+	seen := min(latency.Seconds()/mean*g.warmUpFraction(s), maxPace)
 	switch code {
 	case OK:
 		v.errs *= 1 - sightWeight
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -909,12 +909,12 @@
 	}
 	w.pass(time.Second)
 	w.do(Members{Kind: Changes, Servers: one(Running, 0)})
-	if _, acts := w.ask("safe", "free", "c", 1); len(of[Send](acts)) != 1 || w.g.coldness(w.g.servers[1]) != 1 {
-		t.Errorf("%v, capacity %v once it is back", acts, w.g.coldness(w.g.servers[1]))
+	if _, acts := w.ask("safe", "free", "c", 1); len(of[Send](acts)) != 1 || w.g.warmUpFraction(w.g.servers[1]) != 1 {
+		t.Errorf("%v, capacity %v once it is back", acts, w.g.warmUpFraction(w.g.servers[1]))
 	}
 	w.do(Members{Kind: Changes, Servers: one(Draining, 0)})
 	w.do(Members{Kind: Changes, Servers: one(Running, w.now)})
-	if cold := w.g.coldness(w.g.servers[1]); cold != s.ColdShare {
+	if cold := w.g.warmUpFraction(w.g.servers[1]); cold != s.ColdShare {
 		t.Errorf("capacity %v for a new process under an old id", cold)
 	}
 }
--- a/policy/serverlist_test.go
+++ b/policy/serverlist_test.go
@@ -212,7 +212,7 @@
 	}
 	want := slices.DeleteFunc(walkedRuns(g, widerSet), func(id ServerID) bool {
 		s := g.servers[id]
-		return g.coldness(s) < 1 && !slices.Contains(g.working, s)
+		return g.warmUpFraction(s) < 1 && !slices.Contains(g.working, s)
 	})
 	if !slices.Equal(got, want) {
 		t.Fatalf("wider set %v, want %v", got, want)
--- a/policy/state.go
+++ b/policy/state.go
@@ -189,7 +189,7 @@
 	peers     []*peer
 	budget    float64
 	out       int           // own attempts out, at all servers
-	strain    float64       // average of latency over aim
+	loadRatio float64       // average of latency over aim
 	lackAt    time.Duration // when a request last found no server with room
 	draws     float64       // how often servers were chosen from, decayed over FallTime
 	taken     float64       // own attempts that servers did not turn away, decayed over FallTime
@@ -204,7 +204,7 @@
 	lets      float64 // requests that roots let in, faded over letSpan
 	credit    float64 // requests that may pass with no root's word now
 	own       float64 // weight of an outcome in a server's pace here
-	gate      float64 // part of the requests let in
+	admitted  float64 // part of the requests let in
 	tree      bool    // reports from all to all would be too many
 	asks      map[uint32]*request
 	asking    []*request // in the order asked, answered ones too
@@ -413,7 +413,7 @@
 	}
 	for _, s := range list {
 		if s.State == Running {
-			sum += g.coldness(s) * g.sizeOf(s)
+			sum += g.warmUpFraction(s) * g.sizeOf(s)
 		}
 	}
 	return sum
