Send on again behind much sent ahead: refusing it refused bursts that clients wait for

With it TestBursts failed in the first run of the whole package: of 300 requests that a client sends at once and waits for, 81 were refused, since more than 48 KiB were behind them.

What was learned: where the sender waits for room the system may hold as little as half of the receive window, some 32 KiB, and a burst that came whole holds 53 KiB unread, so that the count of unread bytes does not tell the two apart. Reading further ahead within a bound for all connections would.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -200,12 +200,12 @@
 }
 
 // leavers counts requests whose client left before their first attempt, by where that was
-// noticed. None of them was sent on; the clients of the hidden may have stayed.
+// noticed. None of them was sent on, but for the hidden: these may have had no client.
 type leavers struct {
 	Held    int64 `json:"held"`
 	Dialing int64 `json:"dialing"`
 	Writing int64 `json:"before_write"`
-	Hidden  int64 `json:"refused_unseen"`
+	Hidden  int64 `json:"sent_on_unseen"`
 }
 
 // loopLag is how late the event loop is, in milliseconds. One that stands still is
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -55,12 +55,6 @@
 	final    *command      // the answer, once the attempt out has ended
 }
 
-// turnedAway is the answer to a request that is given up while nothing is out for it. One that
-// may have run is not to be asked for again lightly: it fails.
-func (c *call) turnedAway() command {
-	return command{refuse: c.ranAt == 0 || c.class.Effect == policy.Safe, retryAfter: soon}
-}
-
 // command is an attempt to carry out, or else the final answer.
 type command struct {
 	attempt    *attempt
@@ -224,13 +218,14 @@
 	close(ev.done)
 }
 
-// giveUp turns away the requests that have no attempt out.
+// giveUp refuses the requests that have no attempt out. One that may have run is
+// not to be asked for again lightly: it fails.
 func (l *loop) giveUp() {
 	for id, c := range l.calls {
 		if c.out != nil {
 			continue
 		}
-		l.finish(c, c.turnedAway())
+		l.finish(c, command{refuse: c.ranAt == 0 || c.class.Effect == policy.Safe, retryAfter: soon})
 		l.decide(policy.Gone{ID: id})
 	}
 }
@@ -277,8 +272,6 @@
 		l.answer(c, command{bad: statusBadRequest})
 	case c.final != nil:
 		l.answer(c, *c.final)
-	case o.a.unseen:
-		l.answer(c, c.turnedAway())
 	}
 	ev.Over = l.calls[c.ID] == nil
 	l.decide(ev)
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -5,8 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
-
-	"golang.org/x/sys/unix"
 )
 
 // maxAhead is how many bytes are read of what a client sends before it has its answer:
@@ -14,10 +12,6 @@
 // system's buffer.
 const maxAhead = maxHead
 
-// maxUnread is how many bytes more the system may hold unread while the client's end still counts
-// as one that would be seen: half of the receive window that a connection begins with.
-const maxUnread = 32 << 10
-
 // States of a TCP connection in which its other end may still read, as Linux numbers them.
 const (
 	tcpEstablished = 1
@@ -31,7 +25,7 @@
 	held    atomic.Int64 // waiting for room, a root or a server
 	dialing atomic.Int64 // its connection to an app server coming up
 	writing atomic.Int64 // right before the write
-	hidden  atomic.Int64 // none of them: refused since a client that left could not have been seen
+	hidden  atomic.Int64 // none of them: sent on where a client that left could not have been seen
 }
 
 // readAhead is what a client has sent behind a request that is not answered yet. The end of
@@ -84,15 +78,7 @@
 func (cc *clientConn) hidden() bool {
 	cc.readAhead.mu.Lock()
 	defer cc.readAhead.mu.Unlock()
-	if len(cc.readAhead.buf) < maxAhead {
-		return false
-	}
-	unread := 0
-	err := control(cc.Conn, func(fd int) (err error) {
-		unread, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
-		return err
-	})
-	return err != nil || unread > maxUnread
+	return len(cc.readAhead.buf) >= maxAhead
 }
 
 // gone tells whether the client has closed its connection, ended its sending or broken
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -38,7 +38,7 @@
 }
 
 // Disconnects counts the requests whose client left before their first attempt, by where that
-// was noticed: none of them was sent on. Hidden are those refused whose client had sent so
+// was noticed: none of them was sent on. Hidden are those sent on whose client had sent so
 // much ahead that its leaving could not have been seen.
 type Disconnects struct{ Held, Dialing, Writing, Hidden int64 }
 
--- a/internal/node/sent_ahead_test.go
+++ b/internal/node/sent_ahead_test.go
@@ -43,31 +43,10 @@
 }
 
 // A client sends more behind its request than the system takes in and closes its connection, whose
-// end stays behind those bytes where nobody can see it. Its request was sent on though it had gone.
+// end stays behind those bytes where nobody can see it. Its request is sent on though it has gone.
 func TestClientLeavesBehindMoreThanTheSystemTakesIn(t *testing.T) {
 	const bytesAhead = 320 << 10 // the receive buffer is 128 KiB at first
 	if attempts, left := leaveWhileDialing(t, bytes.Repeat([]byte("x"), bytesAhead)); attempts != 0 {
 		t.Errorf("%d bytes ahead: sent on %d times for a client that had gone, %+v", bytesAhead, attempts, left)
 	}
 }
-
-// One that sent as much and stays is refused at once, and told when to ask again.
-func TestClientStaysBehindMoreThanTheSystemTakesIn(t *testing.T) {
-	a := newApp(t, answer("200 OK", "", "hits"))
-	n := nodeWith(t, a.addr())
-	begun, let := holdDials(n.up)
-	c := dial(t, n)
-	answered := send(t, c, request(n.url, "loan", patience))
-	<-begun
-	if _, err := c.Write(bytes.Repeat([]byte("x"), 320<<10)); err != nil {
-		t.Fatal(err)
-	}
-	n.looks(t)
-	let <- struct{}{}
-	if resp := answered(); resp.StatusCode != http.StatusTooManyRequests || resp.Header.Get("Retry-After") == "" {
-		t.Errorf("answered %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
-	}
-	if left := n.Status().Disconnects; left != (Disconnects{Hidden: 1}) || a.seen.Load() != 0 {
-		t.Errorf("counted %+v, %d attempts", left, a.seen.Load())
-	}
-}
--- a/internal/node/unsolicited.go
+++ b/internal/node/unsolicited.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"cmp"
 	"errors"
-	"net"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -43,7 +42,7 @@
 
 // queues is false where the system does not tell.
 func (c *upConn) queues() (q socketQueues, known bool) {
-	err := control(c.Conn, func(fd int) (err error) {
+	err := c.control(func(fd int) (err error) {
 		if q.unacknowledged, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ); err == nil {
 			q.unread, err = unix.IoctlGetInt(fd, unix.SIOCINQ)
 		}
@@ -52,9 +51,9 @@
 	return q, err == nil
 }
 
-// control calls the system for a connection's descriptor.
-func control(c net.Conn, call func(fd int) error) error {
-	sc, ok := c.(syscall.Conn)
+// control calls the system for the connection's descriptor.
+func (c *upConn) control(call func(fd int) error) error {
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return errors.ErrUnsupported
 	}
@@ -90,7 +89,7 @@
 		c.in.buf = slices.Grow(c.in.buf, minBuf)
 	}
 	space := c.in.buf[len(c.in.buf):cap(c.in.buf)]
-	_ = control(c.Conn, func(fd int) error {
+	_ = c.control(func(fd int) error {
 		n, _, err := syscall.Recvfrom(fd, space, syscall.MSG_DONTWAIT)
 		c.in.buf = c.in.buf[:len(c.in.buf)+max(0, n)]
 		return err // nothing has come, or the end: the next look at the connection shows it
--- a/internal/node/upconn.go
+++ b/internal/node/upconn.go
@@ -59,7 +59,7 @@
 		return idleEnded
 	}
 	state := idleEnded
-	_ = control(c.Conn, func(fd int) error {
+	_ = c.control(func(fd int) error {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -73,7 +73,7 @@
 	withdrawn bool // cancelled before its request was written, and never is written
 	begun     bool // its request may have been written
 	left      bool // its client had gone when it would have been
-	unseen    bool // or might have gone without being seen to
+	unseen    bool // or could not be seen then
 	conn      *upConn
 	stopDial  context.CancelFunc
 }
@@ -109,7 +109,7 @@
 }
 
 // begin puts the attempt on a connection to be written. It is false when it was
-// cancelled, or when its client has gone or can't be seen: who decides that it is not written and who
+// cancelled, or when its client has gone: who decides that it is not written and who
 // writes it go by one mark.
 func (a *attempt) begin(c *upConn) bool {
 	gone := a.client != nil && a.client.gone()
@@ -117,9 +117,9 @@
 	defer a.mu.Unlock()
 	a.conn = c
 	a.left = gone && !a.cancelled
-	a.unseen = !gone && !a.cancelled && a.client != nil && a.client.hidden()
-	a.withdrawn = a.withdrawn || a.left || a.unseen
-	a.begun = !a.cancelled && !gone && !a.unseen
+	a.withdrawn = a.withdrawn || a.left
+	a.begun = !a.cancelled && !gone
+	a.unseen = a.begun && a.client != nil && a.client.hidden()
 	return a.begun
 }
 
