Read a call's error behind the call, not in the same list of arguments

control returned cmp.Or(raw.Control(...), callErr): whether callErr is read before or behind the call that sets it is not specified by the language. Read before, a system without SIOCOUTQ would have counted as one that tells. Found by reading; the compiler in use reads it behind.

--- a/internal/node/unsolicited.go
+++ b/internal/node/unsolicited.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"errors"
 	"slices"
 	"sync/atomic"
@@ -62,7 +61,10 @@
 		return err
 	}
 	var callErr error
-	return cmp.Or(raw.Control(func(fd uintptr) { callErr = call(int(fd)) }), callErr)
+	if err := raw.Control(func(fd uintptr) { callErr = call(int(fd)) }); err != nil {
+		return err
+	}
+	return callErr
 }
 
 // checkFirstBytes looks at the connection right behind the first read since a request was written.
