Hold requests in the soak that were closed long behind their last byte

The soak let pass any request that was closed with no answer on a connection used before, also one sent long before the close, which the node had read: read and closed is lost. Such a request may cross the end of its connection, which its client sees within 100 ms then; later is a violation, with a rule test of its own. Requests behind an answer that says close were never taken up and are not timed.

Also: one way to tell a time-out, a list searched by slices.Contains, a field that nobody read is gone.

--- a/cmd/valvering/soak_clients_test.go
+++ b/cmd/valvering/soak_clients_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -159,7 +161,7 @@
 			c.mark(pending[i:i+1], func(r *requestSeen) { r.first, r.sent = false, time.Now() }) // taken up behind the one before
 		}
 		if !c.read(r, ids[i], began) {
-			c.mark(pending[i+1:], func(r *requestSeen) { r.first, r.done, r.outcome = false, time.Now(), ended })
+			c.mark(pending[i+1:], func(r *requestSeen) { r.first, r.done, r.outcome = false, r.sent, ended }) // never taken up
 			c.hangUp()
 			return
 		}
@@ -193,7 +195,7 @@
 			r.outcome = overtaken
 		case err != nil && headed:
 			r.outcome = broken
-		case err != nil && isTimeout(err):
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			r.outcome = unanswered
 		case err != nil:
 			r.outcome = ended
@@ -244,7 +246,7 @@
 		switch {
 		case c.node.killedSince(began):
 			r.outcome, r.done = overtaken, r.sent
-		case err != nil && isTimeout(err):
+		case errors.Is(err, os.ErrDeadlineExceeded):
 			r.outcome = unanswered
 		default:
 			r.outcome = ended
@@ -252,8 +254,3 @@
 	})
 	c.hangUp()
 }
-
-func isTimeout(err error) bool {
-	timeout, ok := err.(net.Error)
-	return ok && timeout.Timeout()
-}
--- a/cmd/valvering/soak_fleet_test.go
+++ b/cmd/valvering/soak_fleet_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -230,13 +231,12 @@
 	config string
 	agent  *soakAgent
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	log     *testkit.Log
-	exited  chan struct{} // closed once the process has ended
-	front   bool          // the front opens connections to it
-	killed  time.Time     // when the last process was killed
-	started int
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	log    *testkit.Log
+	exited chan struct{} // closed once the process has ended
+	front  bool          // the front opens connections to it
+	killed time.Time     // when the last process was killed
 }
 
 // soakFleet is a small fleet of the real program, with what stands round it.
@@ -313,11 +313,7 @@
 			continue
 		}
 		known[d.server] = true
-		still := false
-		for _, uid := range draining {
-			still = still || uid == d.server
-		}
-		if !still {
+		if !slices.Contains(draining, d.server) {
 			d.to = now
 		}
 	}
@@ -368,7 +364,7 @@
 		{"name":%q,"aim_ms":900,"hard_limit_ms":%d,"semantics":"once"}],
 		"plans":[{"name":%q},{"name":%q,"rate":40,"store_size":40},{"name":%q,"hard_rate":%g,"hard_burst":%g}%s]}}`,
 		n.name, n.listen, n.agent.addr(), f.schedule.intN(256), n.listen, strings.Join(peers, ","), sockets, f.lines(), me, len(f.nodes),
-		mostAttempts, drainGrace.Milliseconds(), safeClass, longestDeadline.Milliseconds(),
+		maxAttempts, drainGrace.Milliseconds(), safeClass, longestDeadline.Milliseconds(),
 		keyedClass, longestDeadline.Milliseconds(), keyedWindow.Milliseconds(), onceClass, longestDeadline.Milliseconds(),
 		freePlan, ratePlan, ceilingPlan, ceilingRate, ceilingBurst, plan)
 }
@@ -402,7 +398,6 @@
 	n.fleet.t.Cleanup(func() { _ = cmd.Process.Kill() })
 	n.mu.Lock()
 	n.cmd, n.log, n.exited = cmd, log, exited
-	n.started++
 	n.mu.Unlock()
 	go func() { _ = cmd.Wait(); close(exited) }()
 }
--- a/cmd/valvering/soak_judge_rules_test.go
+++ b/cmd/valvering/soak_judge_rules_test.go
@@ -24,7 +24,10 @@
 		"2 answers":                    func(_ *observations, r *requestSeen) { r.answers = 2 },
 		"closed with no answer though": func(_ *observations, r *requestSeen) { r.outcome = ended },
 		"the first on its connection":  func(_ *observations, r *requestSeen) { r.outcome, r.attempts = ended, nil },
-		"1ms too late":                 func(_ *observations, r *requestSeen) { r.done = after(time.Second + answerSlack + time.Millisecond) },
+		"closed with no answer 101ms after it was sent": func(_ *observations, r *requestSeen) {
+			r.outcome, r.first, r.attempts, r.done = ended, false, nil, after(crossedWithin+time.Millisecond)
+		},
+		"1ms too late": func(_ *observations, r *requestSeen) { r.done = after(time.Second + answerSlack + time.Millisecond) },
 		"2ms too late": func(_ *observations, r *requestSeen) {
 			r.halted, r.attempts, r.outcome, r.done = true, nil, ended, after(haltedSlack+2*time.Millisecond)
 		},
@@ -39,7 +42,7 @@
 		"repeated 1.001s after": func(_ *observations, r *requestSeen) {
 			r.class, r.attempts = keyedClass, []attemptSeen{ran(0), ran(keyedWindow + time.Millisecond)}
 		},
-		"7 attempts":         func(_ *observations, r *requestSeen) { r.attempts = make([]attemptSeen, mostAttempts+1) },
+		"7 attempts":         func(_ *observations, r *requestSeen) { r.attempts = make([]attemptSeen, maxAttempts+1) },
 		"did not end within": func(o *observations, _ *requestSeen) { o.stops = []stopSeen{{node: "n0", killed: true}} },
 		"ended with 1":       func(o *observations, _ *requestSeen) { o.stops = []stopSeen{{node: "n0", code: 1}} },
 		"after it was started again": func(o *observations, _ *requestSeen) {
--- a/cmd/valvering/soak_judge_test.go
+++ b/cmd/valvering/soak_judge_test.go
@@ -14,10 +14,11 @@
 	leaveSlack      = 150 * time.Millisecond // an attempt may begin so long after its client left
 	drainGrace      = 2 * time.Second        // a server that was told to drain may be sent to for so long
 	drainSlack      = 50 * time.Millisecond
-	haltedSlack     = 3 * time.Second // a client that stops in the middle of a request is answered or let go
+	crossedWithin   = 100 * time.Millisecond // a request may cross the end of its connection, which is seen so soon then
+	haltedSlack     = 3 * time.Second        // a client that stops in the middle of a request is answered or let go
 	readyWithin     = 10 * time.Second
 	killAfter       = 3700 * time.Millisecond // behind SIGTERM: the longest deadline, counted as 3 s, and 0.7 s
-	mostAttempts    = 6
+	maxAttempts     = 6
 	keyedWindow     = time.Second
 	ceilingRate     = 20.0 // units a second
 	ceilingBurst    = 20.0 // units
@@ -146,6 +147,8 @@
 			list = append(list, "closed with no answer though it was sent on")
 		case r.first && !r.crowded:
 			list = append(list, "closed with no answer, the first on its connection")
+		case r.done.Sub(r.sent) > crossedWithin+o.allowed():
+			list = append(list, fmt.Sprintf("closed with no answer %v after it was sent", r.done.Sub(r.sent)))
 		}
 	}
 	if late := r.done.Sub(r.sent) - bound; (r.outcome == answered || r.halted) && late > o.allowed() {
@@ -177,7 +180,7 @@
 			ran = append(ran, a)
 		}
 	}
-	if len(r.attempts) > mostAttempts {
+	if len(r.attempts) > maxAttempts {
 		list = append(list, fmt.Sprintf("%d attempts", len(r.attempts)))
 	}
 	return list
@@ -193,13 +196,13 @@
 	}
 	for customer, times := range sent {
 		slices.SortFunc(times, time.Time.Compare)
-		store, least, at := ceilingBurst, ceilingBurst, times[0]
+		store, lowest, at := ceilingBurst, ceilingBurst, times[0]
 		for _, now := range times {
 			store = min(ceilingBurst, store+ceilingRate*now.Sub(at).Seconds()) - 1
-			least, at = min(least, store), now
+			lowest, at = min(lowest, store), now
 		}
-		if least < -ceilingSlack-ceilingRate*o.allowed().Seconds() {
-			list = append(list, fmt.Sprintf("customer %s: %.1f units beyond its ceiling", customer, -least))
+		if lowest < -ceilingSlack-ceilingRate*o.allowed().Seconds() {
+			list = append(list, fmt.Sprintf("customer %s: %.1f units beyond its ceiling", customer, -lowest))
 		}
 	}
 	return list
--- a/cmd/valvering/soak_test.go
+++ b/cmd/valvering/soak_test.go
@@ -20,7 +20,7 @@
 
 // Memory that a process which serves on through all stops may hold more of at the last than at
 // the first: a leak of each stop would show over many.
-const mostGrowthKB = 16 << 10
+const maxGrowthKB = 16 << 10
 
 // Planned stops, restarts and reloads of the real program, seen from outside: three edge nodes
 // with peers and quotas under clients that use their connections until these end. Signals come in
@@ -116,7 +116,7 @@
 	for _, c := range crowds {
 		c.end()
 	}
-	if last.residentKB > first.residentKB+mostGrowthKB {
+	if last.residentKB > first.residentKB+maxGrowthKB {
 		t.Errorf("%s holds %d kB at the last stop, %d at the first", stays.name, last.residentKB, first.residentKB)
 	}
 	f.finish()
@@ -260,16 +260,19 @@
 	violations := o.violations()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	counts := map[outcome]int{}
+	counts, crossed := map[outcome]int{}, 0
 	longest := time.Duration(0)
 	for _, r := range o.requests {
 		counts[r.outcome]++
+		if r.outcome == ended && r.left.IsZero() && !r.halted {
+			crossed++
+		}
 	}
 	for _, s := range o.stops {
 		longest = max(longest, s.after)
 	}
-	f.t.Logf("seed %d: %d requests, %d answered, %d stops, the longest %v, lateness %v; %s", seed, len(o.requests), counts[answered],
-		len(o.stops), longest, o.lateness, strings.Join(story, "; "))
+	f.t.Logf("seed %d: %d requests, %d answered, %d crossed the end of their connection, %d stops, the longest %v, lateness %v; %s",
+		seed, len(o.requests), counts[answered], crossed, len(o.stops), longest, o.lateness, strings.Join(story, "; "))
 	if o.lateness > tooLateToJudge {
 		f.t.Logf("seed %d: the machine was %v late: too late to judge times", seed, o.lateness)
 	}
