--- a/internal/node/unsolicited_test.go
+++ b/internal/node/unsolicited_test.go
@@ -41,6 +41,13 @@
 		}
 		defer c.Close()
 		fmt.Fprint(c, answerNotRun)
+		for { // until the other end's system has it
+			q, known := (&upConn{Conn: c}).queues()
+			if !known || q.unacknowledged == 0 {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
 		close(sent)
 		<-end
 	}()
