--- /dev/null
+++ b/review/standin/lock.go
@@ -0,0 +1,6 @@
+package standin
+
+import "runtime"
+
+// runtimeLock keeps the calling goroutine on its thread.
+func runtimeLock() { runtime.LockOSThread() }
