--- a/review/2/main.go
+++ b/review/2/main.go
@@ -39,9 +39,7 @@
 
 func main() {
 	r := standin.Begin(100 * time.Second)
-	work := func(*standin.Server, string, string, net.Conn) (time.Duration, bool) {
-		return 200 * time.Millisecond, true
-	}
+	work := func() time.Duration { return 200 * time.Millisecond }
 	var list []*standin.Server
 	for i := range servers {
 		list = append(list, r.NewServer(i, work))
--- a/review/standin/lock.go
+++ /dev/null
@@ -1,6 +0,0 @@
-package standin
-
-import "runtime"
-
-// runtimeLock keeps the calling goroutine on its thread.
-func runtimeLock() { runtime.LockOSThread() }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -10,7 +10,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -74,27 +73,25 @@
 	}
 }
 
-// Lists returns the list in discovery's form.
+// List returns the list in discovery's form.
 func (d *Discovery) List() map[string]any {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return map[string]any{"rev": d.rev, "all": true, "targets": d.targets}
 }
 
-// Server is a lending server. It answers each request by Work, or as a sound server: 200 after the time that
-// Work returns.
+// Server is a sound lending server: it answers each request with 200 and a body that names it, after its work.
 type Server struct {
 	UID, Addr string
 	r         *Run
-	// Work returns the working time of a request. If it returns false it has answered on the connection itself.
-	Work func(s *Server, id, class string, conn net.Conn) (time.Duration, bool)
+	work      func() time.Duration // the working time of a request
 }
 
 // NewServer starts a lending server.
-func (r *Run) NewServer(i int, work func(*Server, string, string, net.Conn) (time.Duration, bool)) *Server {
+func (r *Run) NewServer(i int, work func() time.Duration) *Server {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	r.Check(err, "lending server")
-	s := &Server{UID: fmt.Sprintf("s-%08x", 0x5be2a07c+i*0x01234567), Addr: l.Addr().String(), r: r, Work: work}
+	s := &Server{UID: fmt.Sprintf("s-%08x", 0x5be2a07c+i*0x01234567), Addr: l.Addr().String(), r: r, work: work}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -122,11 +119,7 @@
 			continue
 		}
 		s.r.Logf("%s begins %s %s, may take %s ms", s.UID, class, id, req.Header.Get("X-Deadline-Ms"))
-		work, sound := s.Work(s, id, class, c)
-		if !sound {
-			return
-		}
-		time.Sleep(work)
+		time.Sleep(s.work())
 		body := "done " + id
 		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body); err != nil {
 			return
@@ -265,6 +258,3 @@
 func (r *Run) StartEdgeNode(n *EdgeNode) {
 	n.Proc = r.Start(n.Name, r.RunLine("run"), "GW_NAME="+n.Name, "GW_LISTEN="+n.Listen, "GW_CONFIG="+n.Config)
 }
-
-// LogTail returns the words of a text in one line.
-func LogTail(text string) string { return strings.Join(strings.Fields(text), " ") }
--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -4,10 +4,12 @@
 
 import (
 	"fmt"
+	"math/rand"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -86,12 +88,15 @@
 	}
 }
 
-// FreeAddr returns a free TCP and UDP address on loopback.
+// FreeAddr returns a free TCP and UDP address on loopback. Its port is below those that the system gives to outgoing
+// connections, so that none of them takes it while a process restarts.
 func (r *Run) FreeAddr() string {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		r.Check(err, "free port")
-		addr := l.Addr().String()
+	for range 1000 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 12000+rand.Intn(18000))
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
 		u, err := net.ListenPacket("udp", addr)
 		l.Close()
 		if err == nil {
@@ -124,26 +129,17 @@
 }
 
 // Start starts a shell command from the root of the repository, as the platform does. The lines of its log go to
-// the record if pass accepts them; pass may be nil. A nil log of the process is not read: see StartWithLog.
+// the record.
 func (r *Run) Start(name, command string, env ...string) *Proc {
-	return r.StartWithLog(name, command, &logLines{r: r, name: name}, env...)
-}
-
-// StartWithLog starts a command with its output and errors written to out.
-func (r *Run) StartWithLog(name, command string, out any, env ...string) *Proc {
 	p := &Proc{Name: name, Ended: make(chan struct{}), cmd: exec.Command("/bin/sh", "-c", command)}
 	p.cmd.Dir = r.Root
 	p.cmd.Env = append(os.Environ(), env...)
-	switch out := out.(type) {
-	case *logLines:
-		p.cmd.Stdout, p.cmd.Stderr = out, out
-	case *os.File:
-		p.cmd.Stdout, p.cmd.Stderr = out, out
-	}
+	out := &logLines{r: r, name: name}
+	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
 	go func() { // Pdeathsig follows the thread, so the starting thread waits for the process
-		runtimeLock()
+		runtime.LockOSThread()
 		err := p.cmd.Start()
 		started <- err
 		if err == nil {
@@ -166,7 +162,7 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
-// Pid returns the number of the process.
+// Pid is the number of the process.
 func (p *Proc) Pid() int { return p.cmd.Process.Pid }
 
 // HasEnded reports whether the process has ended.
@@ -182,9 +178,6 @@
 // Status tells how the process ended.
 func (p *Proc) Status() string { return p.cmd.ProcessState.String() }
 
-// ExitCode is the exit code of an ended process.
-func (p *Proc) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
-
 // logLines writes the lines of a process to the record.
 type logLines struct {
 	r    *Run
