Bound what clients and other edge nodes make the policy module remember

What callers saw: nothing yet in service.

Cause: customerOf, onAsk, onStillInFlight, onCustomerTransfer and track create state without a bound.

A request of a further customer is refused with advice: dropping a known customer's counts instead would let it spend its quota again. A datagram for which there is no room counts as lost, which its sender handles already.

--- a/policy/api.go
+++ b/policy/api.go
@@ -55,9 +55,14 @@
 type Settings struct {
 	Self     int // number of this gateway, from 0
 	Gateways int // number of gateways
-	Zone     string
-	Classes  []Class
-	Plans    []Plan
+
+	// MaxCustomers is the number of customers whose state may be kept at the same time; 0: no limit. It is
+	// fixed at the start.
+	MaxCustomers int
+
+	Zone    string
+	Classes []Class
+	Plans   []Plan
 
 	Resolution         time.Duration // minimum time between two successive events
 	MaxAttempts        int           // maximum attempts of one request; 0: no limit
--- a/policy/events.go
+++ b/policy/events.go
@@ -12,6 +12,10 @@
 	}
 	switch ev := ev.(type) {
 	case Request:
+		if !g.hasRoomFor(customerKey(ev.Customer)) {
+			g.refuseUnknown(ev)
+			break
+		}
 		g.onRequest(g.newRequest(ev))
 	case Outcome:
 		g.onOutcome(ev)
--- a/policy/gateway.go
+++ b/policy/gateway.go
@@ -111,7 +111,7 @@
 
 // onVerdict applies a health verdict on a server.
 func (g *Gateway) onVerdict(m verdictMessage, outOfUse byte) {
-	s := g.track(ServerID(m.Server))
+	s := g.trackForPeer(ServerID(m.Server))
 	if s == nil {
 		return
 	}
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -233,7 +233,7 @@
 func (g *Gateway) onCustomerTransfer(from int, m customerTransfer) {
 	t := g.tableByMark(m.Mark)
 	if g.shuttingDown || !g.largeFleet || t == nil || int(m.Plan) >= len(t.plans) ||
-		g.plans[t.plans[m.Plan]] == nil {
+		g.plans[t.plans[m.Plan]] == nil || !g.hasRoomFor(m.Customer) {
 		return
 	}
 	if !g.acknowledge(from, m.Incarnation, m.Seq) {
@@ -252,7 +252,7 @@
 
 // onMonitorState applies what the other monitor of a server knew of it.
 func (g *Gateway) onMonitorState(from int, m monitorState) {
-	s := g.track(ServerID(m.Server))
+	s := g.trackForPeer(ServerID(m.Server))
 	if g.shuttingDown || !g.largeFleet || s == nil || g.tableByMark(m.Mark) == nil ||
 		s.monitors != [2]int{from, g.settings.Self} && s.monitors != [2]int{g.settings.Self, from} {
 		return
@@ -436,8 +436,12 @@
 	g.advance(c)
 	c.tokens, c.actsAsRoot, c.lastRequestAt = min(c.tokens, float64(m.Tokens)), true, g.now
 	for _, l := range m.Grants {
-		n := len(c.leases)
-		c.leases[leaseKey{int(l.From), l.Tag}] = g.leaseOf(c, l)
+		key, n := leaseKey{int(l.From), l.Tag}, len(c.leases)
+		if _, known := c.leases[key]; !known && !g.hasRoomForRemote() {
+			continue
+		}
+		c.leases[key] = g.leaseOf(c, l)
 		c.addInFlight(g.now, len(c.leases)-n)
+		g.remoteRequests += len(c.leases) - n
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1010,6 +1010,9 @@
 func (g *Gateway) onAsk(from int, m askMessage, plan *quota, cl *class) {
 	c := g.customers[m.Customer]
 	created := c == nil
+	if created && !g.hasRoomFor(m.Customer) {
+		return
+	}
 	if created {
 		c = g.newCustomer(m.Customer, plan, int(m.First), int(m.Spread))
 	}
@@ -1027,6 +1030,10 @@
 		g.sendAnswer(c.held[i], answerHeld)
 		return
 	}
+	if !g.hasRoomForRemote() {
+		return
+	}
+	g.remoteRequests++
 	g.advance(c)
 	c.lastRequestAt, c.actsAsRoot = g.now, true
 	c.recentUnits += float64(m.Units) * 250 / float64(max(1, m.AskChance))
@@ -1068,12 +1075,19 @@
 // onStillInFlight extends the lease of another gateway's attempt. If the lease has expired, or was granted
 // before this gateway started, the attempt is counted again.
 func (g *Gateway) onStillInFlight(from int, m askMessage, plan *quota) {
+	if !g.hasRoomFor(m.Customer) {
+		return
+	}
 	c := g.customers[m.Customer]
 	if c == nil {
 		c = g.newCustomer(m.Customer, plan, int(m.First), int(m.Spread))
 	}
 	l, known := c.leases[leaseKey{from, m.Tag}]
+	if !known && !g.hasRoomForRemote() {
+		return
+	}
 	if !known {
+		g.remoteRequests++
 		l = g.leaseOf(c, transferredGrant{uint16(from), m.Tag, m.Units, m.RemainingMS})
 		c.addInFlight(g.now, 1)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -185,6 +185,7 @@
 	customers        map[uint64]*customer
 	customersByHash  map[uint32]*customer // nil: several customers have this hash
 	customerList     []*customer
+	remoteRequests   int         // requests of other gateways in customers' state, at most
 	waitingCustomers []*customer // those with held requests
 	requests         map[RequestID]*request
 	allServers       *serverList
@@ -315,8 +316,10 @@
 func (g *Gateway) updateMeans(dt time.Duration) {
 	g.hintedPeers = g.hintedPeers[:0]
 	g.endAbsences()
+	g.remoteRequests = 0
 	for _, c := range g.customerList {
 		g.expireLeases(c)
+		g.remoteRequests += c.countRemote()
 		c.addInFlight(g.now, 0)
 		c.meanInFlight, c.inFlightSeconds = c.inFlightSeconds/dt.Seconds(), 0
 	}
--- a/policy/tables.go
+++ b/policy/tables.go
@@ -250,6 +250,7 @@
 	for _, q := range g.plans {
 		oldPlans[q] = q.Plan
 	}
+	s.MaxCustomers = g.settings.MaxCustomers
 	g.settings = s
 	removedClasses, removedPlans := g.replaceClasses(s.Classes), g.replacePlans(s.Plans)
 	if t := newTable(&s); !slices.Equal(t.classes, g.tables[0].classes) ||
@@ -339,7 +340,7 @@
 
 // onObservation adds an outcome that another gateway observed at a server monitored here.
 func (g *Gateway) onObservation(m observation, class int) {
-	s := g.track(ServerID(m.Server))
+	s := g.trackForPeer(ServerID(m.Server))
 	if s != nil && slices.Contains(s.monitors[:], g.settings.Self) && class >= 0 {
 		g.observeOutcome(s, class, Code(m.Code), time.Duration(m.Latency)*time.Millisecond)
 	}
