Bound the memory that discovery's lists and responses take

What callers saw: nothing yet in service. Up to eight parallel calls each held a decoded list; one value was buffered whole; changes could add servers without end; names had any length; and the HTTP client kept up to 10 MB of a response's header for each call.

Lines are limited by the list's part; the lists of all calls reserve their lines from one pool, and a list that finds no memory fails as one that is too long; a value has at most 64 KiB, a text field 1 KiB, a header 16 KiB; the directory passes over new servers beyond the limit, counts them and logs it, and the policy module gets none that the directory has not. limits.memory_mb is a fact of the start, as CONFIGURATION.md says; the limits of lists followed a reload before.

TestInvalidListsChangeNothing named the number of lines by the old formula; it names that of the plan now, and TestLimitsFor compares with the plan in bytes. New tests: TestDecodeMemoryIsBounded, TestDecodeLongFields, TestDirectoryLimit.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -118,10 +118,11 @@
 	client  http.Client
 	rng     *rand.Rand // used by run only
 
+	limits roster.Limits // of each list; the lists of parallel calls share the memory
+
 	mu           sync.Mutex
 	addr         string
 	timing       callTiming
-	limits       roster.Limits
 	cancelFollow context.CancelFunc // ends the calls to the previous address
 }
 
@@ -130,7 +131,7 @@
 		deliver: deliver, cancelFollow: func() {},
 		rng: rand.New(rand.NewPCG(f.Seed, callTimingSeed)), client: http.Client{
 			Transport: &http.Transport{DisableCompression: true, MaxIdleConns: 1,
-				IdleConnTimeout: pollTiming.pollTimeout},
+				MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: pollTiming.pollTimeout},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}}
 }
@@ -140,7 +141,7 @@
 func (d *discovery) applyConfig(f *config.File) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.timing, d.limits = timingFor(f), roster.LimitsFor(f.MemoryMB)
+	d.timing = timingFor(f)
 	if d.addr != f.Discovery {
 		d.addr = f.Discovery
 		d.cancelFollow()
@@ -177,6 +178,7 @@
 		if err == nil && l.DuplicateErr != nil && (l.All || !f.hasList) {
 			err = l.DuplicateErr // a whole list must not repeat a server; among changes the last line counts
 			f.reportFailure(err)
+			d.release(l)
 		}
 		if err != nil {
 			f.failures++
@@ -185,10 +187,18 @@
 			continue
 		}
 		f.accept(l)
+		d.release(l)
 		f.pauseBeforeWatch(ctx, began)
 	}
 }
 
+// release returns the memory of a list that has been delivered or is not needed.
+func (d *discovery) release(l *serverList) {
+	if l != nil {
+		d.limits.Memory.Release(l.Reserved)
+	}
+}
+
 // follower follows the list at one address of the discovery service.
 type follower struct {
 	d      *discovery
@@ -288,7 +298,7 @@
 // fetch makes a call without long-polling. While the call is unanswered, fetch makes further calls in
 // parallel. The first one may have been dropped by an agent that is back by now, and if the agent is
 // slow, cancelling the first call would lose its response. While a response is arriving, fetch makes no
-// further call. Each failed call is passed to onFailure; fetch returns an error once no call is in flight.
+// further call. Each failed call is passed to onFailure; fetch returns an error once no call is in flight or ctx is done.
 func (d *discovery) fetch(ctx context.Context, url string, timing callTiming,
 	onFailure func(error)) (*serverList, error) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -297,14 +307,18 @@
 		l   *serverList
 		err error
 	}
-	responses, inFlight := make(chan response, maxDiscoveryCalls), 0
+	responses, inFlight := make(chan response), 0
 	var steps atomic.Int64 // progress of the arriving responses
 	lastSteps := int64(0)
 	startCall := func() {
 		inFlight++
 		go func() {
 			l, err := d.fetchOnce(ctx, url, timing.callTimeout, &steps)
-			responses <- response{l, err}
+			select {
+			case responses <- response{l, err}:
+			case <-ctx.Done(): // another call was first
+				d.release(l)
+			}
 		}()
 	}
 	startCall()
@@ -325,6 +339,8 @@
 			if inFlight == 0 {
 				return nil, r.err
 			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		case <-hedgeTicker.C:
 			progressed := steps.Load() > lastSteps
 			lastSteps = steps.Load()
@@ -343,9 +359,6 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(timeout, func() { cancel(callTimeoutError{timeout}) })
 	defer timer.Stop()
-	d.mu.Lock()
-	limits := d.limits
-	d.mu.Unlock()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
@@ -359,7 +372,7 @@
 		return nil, fmt.Errorf("status %d", resp.StatusCode)
 	}
 	body := &progressReader{body: resp.Body, steps: steps, began: time.Now(), timeout: timeout, timer: timer}
-	return roster.Decode(body, limits)
+	return roster.Decode(body, d.limits)
 }
 
 // callTimeoutError is the error of a call that timed out.
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/memory"
 	"valvering.example/valvering/policy"
 )
 
@@ -354,7 +355,7 @@
 		"none of 2 lines":    text(`{"rev":10,"all":true,"targets":[{},{}]}`),
 		"rev: ":              text(`{"rev":"ten","all":true,"targets":[]}`),
 		"list is too long":   endless(`,{"uid":"` + strings.Repeat("x", 64000) + `"}`),
-		"over 26214 lines":   endless("," + line(1)),
+		fmt.Sprintf("over %d lines", memory.NewPlan(16).MaxServerLines()): endless("," + line(1)),
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			log := &warningLog{Handler: slog.DiscardHandler}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -366,20 +366,28 @@
 	if l.snapshots != nil && !m.more {
 		l.snapshots.listChanged = true
 	}
+	dropped := l.upstream.directory.Dropped()
 	l.upstream.update(m.list, m.kind != policy.Changes)
+	if now := l.upstream.directory.Dropped(); now > dropped {
+		slog.Warn("discovery lists more servers than there is memory for", "passed over", now-dropped)
+	}
 	if len(m.list.Targets) > 0 || m.kind != policy.Changes {
-		l.dispatch(policy.ServerListUpdate{Kind: m.kind, Servers: policyServers(m.list.Targets)})
+		l.dispatch(policy.ServerListUpdate{Kind: m.kind, Servers: l.policyServers(m.list.Targets)})
 	}
 	if !m.more && l.onServerList != nil {
 		l.onServerList(m.listKind)
 	}
 }
 
-// policyServers converts lines of discovery's list for policy.
-func policyServers(lines []target) []policy.Server {
+// policyServers converts lines of discovery's list for policy, except those of servers that the directory has
+// no room for.
+func (l *loop) policyServers(lines []target) []policy.Server {
 	out := make([]policy.Server, 0, len(lines))
 	for i := range lines {
-		out = append(out, lines[i].Server())
+		s := lines[i].Server()
+		if _, listed := l.upstream.directory.Find(s.ID); listed || s.State == policy.Removed {
+			out = append(out, s)
+		}
 	}
 	return out
 }
--- a/internal/roster/decode.go
+++ b/internal/roster/decode.go
@@ -6,16 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"slices"
 
+	"valvering.example/valvering/internal/memory"
 	"valvering.example/valvering/policy"
 )
 
 // Limits bounds a list while it is decoded.
 type Limits struct {
-	Bytes int64 // of JSON text
-	Lines int   // valid lines
+	Bytes  int64        // of JSON text
+	Lines  int          // valid lines
+	Memory *memory.Pool // for the decoded lines of all lists at the same time; nil: no limit
 }
 
 const (
@@ -24,7 +25,7 @@
 	minBytes       = 4 << 20   // the lower bound for any memory limit
 	defaultBytes   = 32 << 20  // without a memory limit
 	unlimitedBytes = 1<<63 - 1 // no limit
-	bytesPerLine   = 160       // typical size of a line, to derive the limit of lines
+	maxValueBytes  = 64 << 10  // a line, or the value of another field
 	maxBlanks      = 1024      // whitespace bytes in a row; discovery sends none
 
 	// Strings that lines share.
@@ -34,20 +35,31 @@
 	yieldEvery = 32 // lines between two yields to the event loop, which may share the processor
 )
 
+// Memory of decoded lines, in bytes.
+const (
+	decodedLineBytes = 256 // a line, with strings of typical length
+	typicalStrings   = 64  // total length of a line's strings that decodedLineBytes includes
+	reserveLines     = 32  // typical lines whose memory is reserved at once
+)
+
 // LimitsFor derives the limits from the memory limit of the process in MiB. 0 means that
-// there is no memory limit.
+// there is no memory limit. The limits of one process share the memory for decoded lists.
 func LimitsFor(memoryMB int) Limits {
 	size := int64(defaultBytes)
 	if memoryMB > 0 {
 		size = max(minBytes, int64(memoryMB)<<20/memoryDivisor)
 	}
-	return Limits{Bytes: size, Lines: int(min(size/bytesPerLine, math.MaxInt32))}
+	plan := memory.NewPlan(memoryMB)
+	lines := plan.MaxServerLines()
+	return Limits{Bytes: size, Lines: lines, Memory: memory.NewPool(int64(lines) * decodedLineBytes)}
 }
 
 // Errors of a list as a whole.
 var (
 	ErrTooLong      = errors.New("the list is too long")
 	ErrDuplicateUID = errors.New("duplicate uid")
+	errLongValue    = fmt.Errorf("a value of over %d bytes", maxValueBytes)
+	errNoMemory     = fmt.Errorf("%w: no memory for further lines", ErrTooLong)
 	errNoList       = errors.New("not a JSON object")
 	errBlanks       = fmt.Errorf("over %d whitespace bytes in a row", maxBlanks)
 )
@@ -55,14 +67,21 @@
 // limitedReader fails beyond its limit, where io.LimitedReader returns io.EOF. It also
 // fails at a long run of whitespace: json.Decoder scans such a run again on each read,
 // which takes quadratic time.
+//
+// It fails at a long value too, since json.Decoder buffers a value as a whole.
 type limitedReader struct {
 	from      io.Reader
-	remaining int64 // bytes
-	blanks    int   // whitespace bytes at the end of what was read
-	err       error // returned by all further reads
+	decoded   func() int64 // the offset up to which the text is decoded
+	offset    int64        // the offset up to which it is read
+	remaining int64        // bytes
+	blanks    int          // whitespace bytes at the end of what was read
+	err       error        // returned by all further reads
 }
 
 func (r *limitedReader) Read(b []byte) (int, error) {
+	if r.err == nil && r.offset-r.decoded() > maxValueBytes {
+		r.err = errLongValue
+	}
 	if r.err == nil && r.remaining <= 0 {
 		r.err = r.checkEnd()
 	}
@@ -71,6 +90,7 @@
 	}
 	n, err := r.from.Read(b[:min(int64(len(b)), r.remaining)])
 	r.remaining -= int64(n)
+	r.offset += int64(n)
 	for _, c := range b[:n] {
 		if c > ' ' {
 			r.blanks = 0
@@ -96,10 +116,23 @@
 //
 // Decode fails if the list is incomplete, exceeds the limits, or has lines that are all
 // invalid. The error names the line, if there is one.
+//
+// The list's memory is reserved from the pool of the limits. The caller releases
+// List.Reserved bytes once it no longer needs the list.
 func Decode(from io.Reader, limits Limits) (*List, error) {
-	d := decoder{json: json.NewDecoder(&limitedReader{from: from, remaining: limits.Bytes}),
-		maxLines: limits.Lines, pool: stringPool{}, lastLine: map[policy.ServerID]int32{},
-		list: List{Targets: []Target{}}}
+	reader := &limitedReader{from: from, remaining: limits.Bytes}
+	d := decoder{json: json.NewDecoder(reader), maxLines: limits.Lines, memory: limits.Memory,
+		pool: stringPool{}, lastLine: map[policy.ServerID]int32{}, list: List{Targets: []Target{}}}
+	reader.decoded = d.json.InputOffset
+	l, err := d.decode()
+	if err != nil {
+		d.memory.Release(d.list.Reserved)
+	}
+	return l, err
+}
+
+// decode decodes the whole text.
+func (d *decoder) decode() (*List, error) {
 	if err := d.object(); err != nil {
 		return nil, noEarlyEOF(err)
 	}
@@ -127,6 +160,8 @@
 type decoder struct {
 	json     *json.Decoder
 	maxLines int // limit of valid lines
+	memory   *memory.Pool
+	used     int // bytes of the reserved memory
 	pool     stringPool
 	lastLine map[policy.ServerID]int32 // index in list.Targets of the ID's last line
 	hasLines bool                      // the field targets was read
@@ -238,11 +273,34 @@
 		return fmt.Errorf("%w: over %d lines", ErrTooLong, d.maxLines)
 	}
 	t := next.target
+	if !d.reserve(&t) {
+		return errNoMemory
+	}
 	t.Zone, t.State = d.pool.intern(t.Zone), d.pool.intern(t.State)
 	l.Targets = append(l.Targets, t)
 	return nil
 }
 
+// reserve reserves memory for a line, and reports whether there is any.
+func (d *decoder) reserve(t *Target) bool {
+	if d.memory == nil {
+		return true
+	}
+	strings := len(t.UID) + len(t.Endpoint) + len(t.Zone)
+	d.used += decodedLineBytes + max(0, strings-typicalStrings)
+	missing := d.used - d.list.Reserved
+	if missing <= 0 {
+		return true
+	}
+	for _, size := range []int{max(missing, reserveLines*decodedLineBytes), missing} {
+		if d.memory.TryReserve(size) {
+			d.list.Reserved += size
+			return true
+		}
+	}
+	return false
+}
+
 // checkUID records a duplicate uid. It returns an error for a line whose ID belongs to
 // another uid, since messages between edge nodes refer to servers by their IDs.
 func (d *decoder) checkUID(i int, uid string) error {
--- a/internal/roster/decode_test.go
+++ b/internal/roster/decode_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"unsafe"
+
+	"valvering.example/valvering/internal/memory"
 )
 
 // endless repeats a text forever and counts the bytes that were read.
@@ -120,10 +122,12 @@
 
 // The limits are proportional to the memory limit, with a minimum.
 func TestLimitsFor(t *testing.T) {
-	for memory, want := range map[int]int64{0: defaultBytes, 1: minBytes, 192: 32 << 20,
+	for limit, want := range map[int]int64{0: defaultBytes, 1: minBytes, 192: 32 << 20,
 		1 << 24: 1 << 44 / memoryDivisor} {
-		if l := LimitsFor(memory); l.Bytes != want || l.Lines < 1 || int64(l.Lines) > l.Bytes/bytesPerLine {
-			t.Errorf("%d MiB: %+v", memory, l)
+		l, plan := LimitsFor(limit), memory.NewPlan(limit)
+		if l.Bytes != want || l.Lines < 1 || int64(l.Lines)*memory.ServerLineBytes > plan.ServerListBytes ||
+			l.Memory.Usage().Limit > plan.ServerListBytes {
+			t.Errorf("%d MiB: %+v", limit, l)
 		}
 	}
 }
@@ -171,3 +175,49 @@
 		}
 	}
 }
+
+// Guards against one long value, or many lists at the same time, that take more memory than a list may.
+func TestDecodeMemoryIsBounded(t *testing.T) {
+	long := strings.Repeat("x", 2*maxValueBytes)
+	for _, text := range []string{`{"targets":[{"uid":"` + long + `"}]}`, `{"more":"` + long + `","targets":[]}`,
+		`{"targets":[` + strings.Replace(validLine, `"a"`, `"a","more":"`+long+`"`, 1) + `]}`} {
+		if _, err := Decode(strings.NewReader(text), LimitsFor(192)); !errors.Is(err, errLongValue) {
+			t.Errorf("%.40s...: %v", text, err)
+		}
+	}
+	var lines []string
+	for i := range 1000 {
+		lines = append(lines, lineOf(i))
+	}
+	text := `{"targets":[` + strings.Join(lines, ",") + `]}`
+	limits := Limits{Bytes: 1 << 20, Lines: 1000, Memory: memory.NewPool(1500 * decodedLineBytes)}
+	first, err := Decode(strings.NewReader(text), limits)
+	if err != nil || limits.Memory.Usage().Reserved != int64(first.Reserved) || first.Reserved < 1000*decodedLineBytes {
+		t.Fatalf("%v, %+v", err, limits.Memory.Usage())
+	}
+	if _, err := Decode(strings.NewReader(text), limits); !errors.Is(err, ErrTooLong) {
+		t.Errorf("a second list at the same time: %v", err)
+	}
+	if limits.Memory.Usage().Reserved != int64(first.Reserved) {
+		t.Errorf("a failed list leaves a reservation: %+v", limits.Memory.Usage())
+	}
+	limits.Memory.Release(first.Reserved)
+	if _, err := Decode(strings.NewReader(text), limits); err != nil {
+		t.Errorf("after the first list was released: %v", err)
+	}
+}
+
+// A line with an overlong text field is invalid, and its error names the field.
+func TestDecodeLongFields(t *testing.T) {
+	long := strings.Repeat("x", maxTextBytes+1)
+	for field, line := range map[string]string{
+		"uid":      strings.Replace(validLine, "s-00000001", long, 1),
+		"az":       strings.Replace(validLine, `"az":"a"`, `"az":"`+long+`"`, 1),
+		"endpoint": strings.Replace(validLine, `"endpoint":"`, `"endpoint":"`+long, 1),
+	} {
+		l, err := Decode(strings.NewReader(`{"targets":[`+line+`,`+lineOf(7)+`]}`), LimitsFor(0))
+		if err != nil || len(l.Targets) != 1 || l.Invalid != 1 || !strings.HasPrefix(l.InvalidErr.Error(), "targets[0]: "+field+": ") {
+			t.Errorf("%s: %+v, %v", field, l, err)
+		}
+	}
+}
--- a/internal/roster/directory.go
+++ b/internal/roster/directory.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"valvering.example/valvering/internal/memory"
 	"valvering.example/valvering/policy"
 )
 
@@ -43,6 +44,9 @@
 	entries      []Entry
 	free         []int32 // indexes of unused entries
 	zones        stringPool
+	limit        int // largest number of servers with strings of typical length; 0: no limit
+	longBytes    int // bytes of longer strings
+	dropped      int // new servers that the limit kept out
 	incarnations uint64
 	visited      int // entries that Update visited, for tests
 }
@@ -52,6 +56,30 @@
 	return &Directory{index: map[policy.ServerID]int32{}, zones: stringPool{}}
 }
 
+// SetLimit limits the memory for servers to that of n servers with strings of typical length.
+func (d *Directory) SetLimit(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.limit = n
+}
+
+// Dropped returns the number of lines with new servers that the limit has kept out so far.
+func (d *Directory) Dropped() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.dropped
+}
+
+// isFull reports whether the limit is reached. The caller holds the mutex.
+func (d *Directory) isFull() bool {
+	return d.limit > 0 && len(d.index)+d.longBytes/memory.ServerLineBytes >= d.limit
+}
+
+// longBytes returns the bytes of the entry's strings beyond those of typical length.
+func (e *Entry) longBytes() int {
+	return max(0, len(e.UID)+len(e.Zone)+len(e.Addr.Addr().Zone())-typicalStrings)
+}
+
 // Len returns the number of servers.
 func (d *Directory) Len() int {
 	d.mu.RLock()
@@ -100,7 +128,7 @@
 }
 
 // apply applies one line and returns the index of the server's entry, or -1 if the server
-// is removed.
+// is removed, or is new and there is no room for it.
 func (d *Directory) apply(t *Target, now time.Duration, ended func(policy.ServerID)) int32 {
 	d.visited++
 	id := ID(t.UID)
@@ -111,12 +139,17 @@
 		}
 		return -1
 	}
+	if !listed && d.isFull() {
+		d.dropped++
+		return -1
+	}
 	addr, _ := netip.ParseAddrPort(t.Endpoint) // dialing the zero address fails
 	if !listed {
 		at = d.allocate()
 		d.index[id] = at
 	}
 	e := &d.entries[at]
+	d.longBytes -= e.longBytes()
 	if !listed || e.Addr != addr || e.BootMS != t.BootMS {
 		d.incarnations++
 		e.Addr, e.BootMS, e.Incarnation = addr, t.BootMS, d.incarnations
@@ -128,6 +161,7 @@
 		ended(id)
 	}
 	e.UID, e.Zone, e.Weight, e.Cell, e.State = t.UID, d.zones.intern(t.Zone), t.Weight, t.Cell, state
+	d.longBytes += e.longBytes()
 	return at
 }
 
@@ -146,6 +180,7 @@
 	id := ID(d.entries[at].UID)
 	ended(id)
 	delete(d.index, id)
+	d.longBytes -= d.entries[at].longBytes()
 	d.entries[at] = Entry{}
 	d.free = append(d.free, at)
 }
--- a/internal/roster/directory_test.go
+++ b/internal/roster/directory_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -168,3 +169,40 @@
 		}
 	})
 }
+
+// Guards against changes that add servers without end: new servers beyond the limit are counted and passed
+// over, known ones are still changed, and the place of a removed one is free again.
+func TestDirectoryLimit(t *testing.T) {
+	d := NewDirectory()
+	d.SetLimit(10)
+	update := func(whole bool, lines ...Target) {
+		d.Update(&List{Targets: lines}, whole, 0, func(policy.ServerID) {})
+	}
+	line := func(uid, state string) Target {
+		return Target{UID: uid, Endpoint: "10.0.0.1:1", Zone: "a", State: state, Weight: 1}
+	}
+	for i := range 30 {
+		update(false, line(fmt.Sprintf("s-%08x", i+1), "SERVING"))
+	}
+	if d.Len() != 10 || d.Dropped() != 20 {
+		t.Errorf("%d servers, %d passed over", d.Len(), d.Dropped())
+	}
+	update(false, line("s-00000001", "DRAINING"), line("s-00000002", Removed), line("s-000000ff", "SERVING"))
+	if e, listed := d.Find(1); !listed || e.State != policy.Draining {
+		t.Errorf("%+v, %v", e, listed)
+	}
+	if _, listed := d.Find(0xff); !listed || d.Len() != 10 {
+		t.Errorf("%d servers, the new one listed: %v", d.Len(), listed)
+	}
+	update(true)
+	for i := range 30 { // strings that are longer than usual take the place of further servers
+		update(false, line(fmt.Sprint(strings.Repeat("u", maxTextBytes-2), i), "SERVING"))
+	}
+	if d.Len() >= 6 || d.Len() < 3 {
+		t.Errorf("%d servers with long names", d.Len())
+	}
+	update(true)
+	if d.Len() != 0 || d.longBytes != 0 {
+		t.Errorf("%d servers, %d long bytes after all were removed", d.Len(), d.longBytes)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,6 +29,7 @@
 
 	Invalid      int   `json:"-"` // invalid lines that the decoder dropped
 	InvalidErr   error `json:"-"` // the error of the first invalid line, or nil
+	Reserved     int   `json:"-"` // bytes of memory that are reserved for the lines
 	DuplicateErr error `json:"-"` // an ErrDuplicateUID that names the first duplicate uid, or nil
 }
 
@@ -89,11 +90,16 @@
 			*v = 0 // unknown
 		}
 	}
+	for _, f := range []struct{ name, value string }{{"uid", t.UID}, {"endpoint", t.Endpoint}, {"az", t.Zone}} {
+		if len(f.value) > maxTextBytes {
+			return fmt.Errorf("%s: over %d bytes", f.name, maxTextBytes)
+		}
+	}
 	if t.UID == "" {
-		return fmt.Errorf("uid: missing, endpoint %q", t.Endpoint)
+		return fmt.Errorf("uid: missing, endpoint %.80q", t.Endpoint)
 	}
 	if _, ok := statesByName[t.State]; !ok {
-		return fmt.Errorf("state: unknown value %q", t.State)
+		return fmt.Errorf("state: unknown value %.80q", t.State)
 	}
 	if t.State == Removed {
 		return nil
@@ -104,6 +110,9 @@
 	return nil
 }
 
+// maxTextBytes is the largest length of a text field.
+const maxTextBytes = 1 << 10
+
 // maxNumber is the largest valid number. As Unix milliseconds it is in the year 2255,
 // which a time.Duration in nanoseconds can still represent.
 const maxNumber = 9e12
