--- a/cmd/valvering/main.go
+++ b/cmd/valvering/main.go
@@ -22,6 +22,7 @@
 	"valvering.example/valvering/internal/admin"
 	"valvering.example/valvering/internal/bounded"
 	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/memory"
 	"valvering.example/valvering/internal/node"
 	"valvering.example/valvering/internal/snapshot"
 )
@@ -29,8 +30,6 @@
 const (
 	exitConfig = 2
 	exitServe  = 1
-
-	memoryLimitFraction = 0.7 // of the memory limit; above it the garbage collector works harder
 )
 
 const usage = `usage: valvering             serve, with the configuration file that GW_CONFIG names
@@ -158,7 +157,7 @@
 	defer stopGC()
 	go adjustGC(gcContext)
 	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(cfg.MemoryMB) * (1 << 20)))
+		debug.SetMemoryLimit(memory.GoLimit(cfg.MemoryMB))
 	}
 	n, err := node.New(history, stored)
 	if err != nil {
--- a/cmd/valvering/service_test.go
+++ b/cmd/valvering/service_test.go
@@ -42,6 +42,8 @@
 	lastID         atomic.Int64 // number in the last request id
 	extraFields    string       // further fields of the configuration
 	nodes          int          // edge nodes in the fleet
+	memoryMB       int          // limit in the configuration
+	sockets        int          // likewise
 	maxDescriptors int          // the program's descriptor limit; 0: the limit of the test process
 	attempts       sync.Map     // request id → attempts that reached a server
 
@@ -52,7 +54,7 @@
 
 func newDeployment(t testing.TB) *deployment {
 	t.Helper()
-	s := &deployment{t: t, nodes: 1, config: filepath.Join(t.TempDir(), "config.json"),
+	s := &deployment{t: t, nodes: 1, memoryMB: 192, sockets: 512, config: filepath.Join(t.TempDir(), "config.json"),
 		stateDir: filepath.Join(t.TempDir(), "state"),
 		listen:   testkit.FreeAddr(t), admin: testkit.FreeAddr(t)}
 	s.program = buildProgram(t)
@@ -183,13 +185,14 @@
 		peers = `"peers":true,`
 	}
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",%s"valvering":{"admin":%q,"state_dir":%q},
-		"limits":{"cores":1,"memory_mb":192,"sockets":512},
+		"limits":{"cores":1,"memory_mb":%d,"sockets":%d},
 		"settings":{"me":0,"balancers":%d,"zone":"a","tick_ms":1,"discovery":"push",
 		"caps":{%s"max_attempts":6,"cancel":true,"retry_after":true,"max_retry_after_ms":1000,"dial_timeout_ms":250,"conn_idle_ms":2000},
 		"family_info":{"largest":6,"mail_per_s":100},"rules":{"drain_grace_ms":2000},
 		"classes":[{"name":"katalog","aim_ms":300,"hard_limit_ms":10000,"semantics":"repeatable","group":"all"},
 		{"name":"perpanjang","aim_ms":1500,"hard_limit_ms":10000,"semantics":"once"}],
-		"plans":[%s]}}`, s.listen, s.discovery.Listener.Addr(), s.extraFields, s.admin, s.stateDir, s.nodes, peers, plans)
+		"plans":[%s]}}`, s.listen, s.discovery.Listener.Addr(), s.extraFields, s.admin, s.stateDir,
+		s.memoryMB, s.sockets, s.nodes, peers, plans)
 	if err := os.WriteFile(s.config+".new", []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/node/descriptors.go
+++ b/internal/node/descriptors.go
@@ -5,6 +5,7 @@
 	"syscall"
 
 	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/memory"
 )
 
 const (
@@ -23,14 +24,15 @@
 	descriptorsPerDiscoveryCall = 16
 )
 
-// connLimits returns the limits on client connections and on server connections for a configuration file.
-func connLimits(f *config.File) (clients, servers int) {
+// connLimits returns the limits on client connections and on server connections for a configuration file:
+// those of the descriptors, or lower ones whose connections fit the memory.
+func connLimits(f *config.File, plan memory.Plan) (clients, servers int) {
 	n, allowed := usableDescriptors(f)
 	if n < f.Sockets {
 		slog.Warn("fewer descriptors than the configuration says", "allowed", allowed,
 			"limits.sockets", f.Sockets)
 	}
-	return splitDescriptors(n)
+	return plan.Connections(splitDescriptors(n))
 }
 
 // usableDescriptors returns the number of descriptors that the process can use, and the limit of the
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -81,6 +81,14 @@
 	}
 }
 
+// addField adds a field to a head that was not read from a connection.
+func (h *head) addField(name, value string) {
+	start := len(h.text)
+	h.text = append(h.text, name+value...)
+	colon, end := uint16(start+len(name)), uint16(len(h.text))
+	h.fields = append(h.fields, field{span{uint16(start), colon}, span{colon, end}})
+}
+
 // neverRespond reads requests and never answers.
 func neverRespond(net.Conn, *http.Request, string) bool { return true }
 
--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -44,6 +44,7 @@
 
 // finishClose completes the lingering close of a connection, as the last step of the connection's goroutine.
 func (s *httpServer) finishClose(cc *clientConn) {
+	cc.freeMemory()
 	s.mu.Lock()
 	if !cc.closing {
 		s.beginClose(cc)
--- a/internal/node/liveness_test.go
+++ b/internal/node/liveness_test.go
@@ -40,7 +40,7 @@
 	for n := syscall.Errno(1); n <= lastErrno; n++ {
 		unusable := n == syscall.EBADF || n == syscall.EINVAL || n == syscall.ENOTSOCK
 		synctest.Test(t, func(t *testing.T) {
-			s := newHTTPServer(clock{time.Now()}, nil, nil, nil, 4)
+			s := newHTTPServer(clock{time.Now()}, nil, nil, nil, 4, nil)
 			d, done := fakeListener{make(chan any)}, make(chan error, 1)
 			go func() { done <- s.serve(d) }()
 			for range 3 {
@@ -76,7 +76,7 @@
 // lingered, the next accept would fail 5 ms later and close another connection.
 func TestOutOfDescriptors(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newHTTPServer(clock{time.Now()}, nil, nil, nil, 100)
+		s := newHTTPServer(clock{time.Now()}, nil, nil, nil, 100, nil)
 		d, done := fakeListener{make(chan any)}, make(chan error, 1)
 		go func() { done <- s.serve(d) }()
 		var clients []net.Conn
@@ -133,7 +133,7 @@
 // A client that sends "Expect: 100-continue" gets the interim response, however old its connection is.
 func TestContinueOnAnOldConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newHTTPServer(clock{time.Now()}, nil, nil, nil, 4)
+		s := newHTTPServer(clock{time.Now()}, nil, nil, nil, 4, nil)
 		client, server := net.Pipe()
 		cc := s.addConn(server)
 		go s.serveConn(cc)
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -13,7 +13,20 @@
 	maxHeadBytes      = 16 << 10
 	maxFields         = 100     // header or trailer fields
 	maxChunkLineBytes = 256     // chunk size line with its extensions
-	minBufferBytes    = 2 << 10 // initial size of a read buffer
+	maxTrailerLine    = 2 << 10 // trailer field
+
+	// Sizes of a connection's read buffer. The connection's fixed memory includes a small one.
+	minBufferBytes   = 2 << 10
+	smallBufferBytes = 4 << 10
+	maxBufferBytes   = maxHeadBytes + maxRetainedBody + maxTrailerLine + 1<<10
+
+	// largeHeadBytes is reserved for a head that needs the largest buffer: it is held a second time while it
+	// is forwarded.
+	largeHeadBytes = 2 * maxBufferBytes
+
+	// maxRetainedBody is the number of first bytes of a chunked body that stay in the buffer as received, to
+	// be compared with a second response.
+	maxRetainedBody = 1 << 10
 )
 
 // Errors in a message. After any of them nothing more can be read from the connection, since the start of the
@@ -25,25 +38,67 @@
 	errLongBody = errors.New("the body is too long")
 )
 
+// messageMemory accounts for the memory that a message takes beyond the fixed memory of its connection.
+type messageMemory interface {
+	reserve(n int) error // may wait for a limited time
+	release(n int)
+}
+
 // stream reads HTTP messages from a connection. It rejects ambiguous messages, since a server or a proxy
 // might interpret them differently (request smuggling). Slices that it returns are valid until discardRead.
+//
+// Its buffer holds the head of a message and has at most maxBufferBytes. A body that doesn't fit is read into
+// memory of its own (body.go).
 type stream struct {
-	src io.Reader
-	buf []byte
-	off int // start of the unread bytes in buf
+	src      io.Reader
+	memory   messageMemory // nil: without a limit
+	buf      []byte
+	off      int  // start of the unread bytes in buf
+	retained int  // bytes at the start of buf that stay there until discardRead
+	moved    bool // bytes behind the retained ones were overwritten
+
+	bodyInBuf bool // the last body is a part of buf
+
+	// Reserved bytes.
+	bufReserved  int
+	bodyReserved int
 }
 
 func (s *stream) buffered() int { return len(s.buf) - s.off }
 
-// discardRead discards the bytes that have been read, and shrinks a large buffer.
+// reserve and release do nothing without a limit.
+func (s *stream) reserve(n int) error {
+	if s.memory == nil {
+		return nil
+	}
+	return s.memory.reserve(n)
+}
+
+func (s *stream) release(n int) {
+	if s.memory != nil && n > 0 {
+		s.memory.release(n)
+	}
+}
+
+// discardRead discards the message that has been read, with its body, and shrinks a large buffer.
 func (s *stream) discardRead() {
+	s.releaseBody()
 	rest := s.buf[s.off:]
-	if cap(s.buf) > 2*minBufferBytes && len(rest) < minBufferBytes {
+	if cap(s.buf) > smallBufferBytes && len(rest) < minBufferBytes {
 		s.buf = append(make([]byte, 0, minBufferBytes), rest...)
+		s.release(s.bufReserved)
+		s.bufReserved = 0
 	} else {
 		s.buf = s.buf[:copy(s.buf, rest)]
 	}
-	s.off = 0
+	s.off, s.retained, s.moved = 0, 0, false
+}
+
+// discardAll discards all bytes and releases their memory.
+func (s *stream) discardAll() {
+	s.releaseBody()
+	s.release(s.bufReserved)
+	*s = stream{src: s.src, memory: s.memory}
 }
 
 // dropEmptyLine skips an empty line at the front of the unread bytes. It returns false if there is none.
@@ -58,7 +113,9 @@
 // fill reads at least one byte from the connection into the buffer.
 func (s *stream) fill() error {
 	if len(s.buf) == cap(s.buf) {
-		s.buf = append(make([]byte, 0, max(minBufferBytes, 2*cap(s.buf))), s.buf...)
+		if err := s.makeRoom(); err != nil {
+			return err
+		}
 	}
 	n, err := s.src.Read(s.buf[len(s.buf):cap(s.buf)])
 	s.buf = s.buf[:len(s.buf)+n]
@@ -71,7 +128,50 @@
 	return err
 }
 
-// readN returns the next n bytes.
+// makeRoom makes room at the end of the buffer. It overwrites bytes that have been read, or else enlarges
+// the buffer.
+func (s *stream) makeRoom() error {
+	if !s.moved {
+		s.retained = min(s.off, s.retained+maxRetainedBody)
+	}
+	if s.off == s.retained || cap(s.buf) < smallBufferBytes {
+		return s.growBuffer()
+	}
+	end := s.retained + copy(s.buf[s.retained:], s.buf[s.off:])
+	s.buf, s.off, s.moved = s.buf[:end], s.retained, true
+	return nil
+}
+
+// growBuffer enlarges the buffer: from its initial size to a small one, and from there to the largest.
+func (s *stream) growBuffer() error {
+	size := maxBufferBytes
+	switch {
+	case cap(s.buf) < minBufferBytes:
+		size = minBufferBytes
+	case cap(s.buf) < smallBufferBytes:
+		size = smallBufferBytes
+	case cap(s.buf) == maxBufferBytes:
+		return errLongHead
+	default:
+		if err := s.reserve(largeHeadBytes); err != nil {
+			return err
+		}
+		s.bufReserved = largeHeadBytes
+	}
+	s.buf = append(make([]byte, 0, size), s.buf...)
+	return nil
+}
+
+// firstBytes returns the first bytes of the message that was read, as received: all of them unless some were
+// overwritten.
+func (s *stream) firstBytes() []byte {
+	if s.moved {
+		return s.buf[:s.retained]
+	}
+	return s.buf[:s.off]
+}
+
+// readN returns the next n bytes, which must fit into the buffer.
 func (s *stream) readN(n int) ([]byte, error) {
 	for s.buffered() < n {
 		if err := s.fill(); err != nil {
@@ -87,6 +187,9 @@
 // equal prefix. At most limit bytes are allowed.
 func (s *stream) readLines(prefix string, untilEmptyLine bool, limit int) ([]byte, error) {
 	for i := 0; ; i++ {
+		if i >= limit {
+			return nil, errLongHead
+		}
 		for s.buffered() <= i {
 			if err := s.fill(); err != nil {
 				return nil, err
@@ -94,8 +197,6 @@
 		}
 		b := s.buf[s.off:]
 		switch c := b[i]; {
-		case i >= limit:
-			return nil, errLongHead
 		case i < len(prefix) && c != prefix[i]:
 			return nil, errSyntax
 		case c == '\n':
@@ -114,29 +215,57 @@
 
 // head is the head of a message.
 type head struct {
+	text       []byte // the whole head, a part of the read buffer
 	startLine  []byte // request line or status line
 	fields     []field
 	bodyLength int // of the body; -1: chunked, -2: not specified
 }
 
-type field struct{ name, value []byte }
+// field is a header field. Offsets into the head take an eighth of the memory of slices.
+type field struct{ name, value span }
+
+// span is a part of a head's text, which has at most maxHeadBytes.
+type span struct{ start, end uint16 }
+
+// of returns the part of the text.
+func (p span) of(text []byte) []byte { return text[p.start:p.end] }
+
+// trimmed returns the part without blanks and tabs at its ends.
+func (p span) trimmed(text []byte) span {
+	isBlank := func(i uint16) bool { return text[i] == ' ' || text[i] == '\t' }
+	for p.start < p.end && isBlank(p.start) {
+		p.start++
+	}
+	for p.start < p.end && isBlank(p.end-1) {
+		p.end--
+	}
+	return p
+}
+
+// reset drops the values, which refer to a read buffer.
+func (h *head) reset() {
+	h.text, h.startLine, h.fields = nil, nil, h.fields[:0]
+}
 
 // readHead reads a head whose first bytes equal prefix.
 func (s *stream) readHead(h *head, prefix string) error {
-	b, err := s.readLines(prefix, true, maxHeadBytes)
+	text, err := s.readLines(prefix, true, maxHeadBytes)
 	if err != nil {
 		return err
 	}
-	h.startLine, b, _ = bytes.Cut(b, []byte("\r\n"))
-	h.fields, h.bodyLength = h.fields[:0], -2
-	for string(b) != "\r\n" && len(b) > 0 {
-		var line []byte
-		line, b, _ = bytes.Cut(b, []byte("\r\n"))
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) || len(h.fields) == maxFields {
+	s.retained = s.off
+	h.text, h.fields, h.bodyLength = text, h.fields[:0], -2
+	lineEnd := bytes.Index(text, []byte("\r\n"))
+	h.startLine = text[:lineEnd]
+	for start := lineEnd + 2; start < len(text)-2; start = lineEnd + 2 {
+		lineEnd = start + bytes.Index(text[start:], []byte("\r\n"))
+		colon := bytes.IndexByte(text[start:lineEnd], ':')
+		if colon < 0 || !isToken(text[start:start+colon]) || len(h.fields) == maxFields {
 			return errSyntax // also for a folded line or a blank before the colon
 		}
-		h.fields = append(h.fields, field{name, bytes.Trim(value, " \t")})
+		name := span{uint16(start), uint16(start + colon)}
+		value := span{name.end + 1, uint16(lineEnd)}
+		h.fields = append(h.fields, field{name, value.trimmed(text)})
 	}
 	return h.setBodyLength()
 }
@@ -167,10 +296,12 @@
 // lookup returns the first value of a field and the number of its occurrences.
 func (h *head) lookup(name string) (value []byte, n int) {
 	for i := range h.fields {
-		if f := &h.fields[i]; len(f.name) == len(name) && strings.EqualFold(string(f.name), name) {
-			if n++; n == 1 {
-				value = f.value
-			}
+		field := h.fields[i].name.of(h.text)
+		if len(field) != len(name) || !strings.EqualFold(string(field), name) {
+			continue
+		}
+		if n++; n == 1 {
+			value = h.fields[i].value.of(h.text)
 		}
 	}
 	return value, n
@@ -185,10 +316,10 @@
 // listContains reports whether the comma-separated list in a field contains a word.
 func (h *head) listContains(name, word string) bool {
 	for i := range h.fields {
-		if !strings.EqualFold(string(h.fields[i].name), name) {
+		if !strings.EqualFold(string(h.fields[i].name.of(h.text)), name) {
 			continue
 		}
-		for w := range strings.SplitSeq(string(h.fields[i].value), ",") {
+		for w := range strings.SplitSeq(string(h.fields[i].value.of(h.text)), ",") {
 			if strings.EqualFold(strings.Trim(w, " \t"), word) {
 				return true
 			}
@@ -197,72 +328,6 @@
 	return false
 }
 
-// readBody reads the body that the head announces. Without a specified length the body is empty.
-func (s *stream) readBody(h *head) ([]byte, error) {
-	if h.bodyLength >= 0 {
-		return s.readN(h.bodyLength)
-	}
-	var body []byte
-	for h.bodyLength == -1 {
-		line, err := s.readLines("", false, maxChunkLineBytes)
-		if err != nil {
-			return nil, err
-		}
-		size, _, _ := bytes.Cut(line[:len(line)-2], []byte(";"))
-		n, ok := parseHex(size)
-		switch {
-		case !ok:
-			return nil, errFraming
-		case len(body)+n > maxBodyBytes:
-			return nil, errLongBody
-		case n == 0:
-			return body, s.skipTrailer()
-		}
-		chunk, err := s.readN(n + 2)
-		if err != nil {
-			return nil, err
-		}
-		if string(chunk[n:]) != "\r\n" {
-			return nil, errFraming
-		}
-		body = append(body, chunk[:n]...)
-	}
-	return body, nil
-}
-
-// readToEOF reads a body that extends to the end of the connection.
-func (s *stream) readToEOF() ([]byte, error) {
-	for {
-		if s.buffered() > maxBodyBytes {
-			return nil, errLongBody
-		}
-		switch err := s.fill(); err {
-		case nil:
-		case io.EOF:
-			return s.readN(s.buffered())
-		default:
-			return nil, err
-		}
-	}
-}
-
-// skipTrailer skips the trailer fields after the last chunk.
-func (s *stream) skipTrailer() error {
-	for range maxFields {
-		line, err := s.readLines("", false, maxHeadBytes)
-		if err != nil {
-			return err
-		}
-		if len(line) == 2 {
-			return nil
-		}
-		if name, _, ok := bytes.Cut(line, []byte(":")); !ok || !isToken(name) {
-			return errSyntax
-		}
-	}
-	return errLongHead
-}
-
 // isToken reports whether b is a token as RFC 9110 defines it.
 func isToken(b []byte) bool {
 	for _, c := range b {
--- a/internal/node/message_test.go
+++ b/internal/node/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -91,11 +92,16 @@
 	})
 }
 
-// The buffer grows for a large message and shrinks after it.
+// The buffer grows for a large message, but not beyond its limit, and shrinks after it.
 func TestStreamShrinksBuffer(t *testing.T) {
-	s := stream{src: strings.NewReader(strings.Repeat("a", maxBodyBytes) + "b")}
-	if b, err := s.readN(maxBodyBytes); err != nil || len(b) != maxBodyBytes {
-		t.Fatal(len(b), err)
+	text := "POST / HTTP/1.1\r\nA: " + strings.Repeat("h", maxHeadBytes-100) + "\r\n" +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", maxBodyBytes) + strings.Repeat("a", maxBodyBytes) + "b"
+	s, h := stream{src: strings.NewReader(text)}, head{}
+	if err := s.readHead(&h, ""); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := s.readBody(&h); err != nil || len(b) != maxBodyBytes || cap(s.buf) > maxBufferBytes {
+		t.Fatal(len(b), err, cap(s.buf))
 	}
 	s.discardRead()
 	if b, err := s.readN(1); err != nil || string(b) != "b" || cap(s.buf) > 2*minBufferBytes {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/memory"
 	"valvering.example/valvering/internal/roster"
 	"valvering.example/valvering/policy"
 )
@@ -32,7 +33,8 @@
 // Node is an edge node with open sockets.
 type Node struct {
 	cfg            *config.File // as read at the start
-	changeMu       sync.Mutex   // held while a new generation is checked and applied
+	memoryPlan     memory.Plan
+	changeMu       sync.Mutex // held while a new generation is checked and applied
 	history        *config.History
 	restoreFrom    *Snapshots
 	snapshots      *snapshotWriter // nil: no snapshots are written
@@ -54,18 +56,28 @@
 // their store. If snapshots is nil, none are read or written.
 func New(h *config.History, snapshots *Snapshots) (*Node, error) {
 	cfg := h.Current().File
-	g, err := policy.New(cfg.Settings, cfg.Seed)
+	plan := memory.NewPlan(cfg.MemoryMB)
+	if !memory.Fits(cfg.MemoryMB) {
+		slog.Warn("limits.memory_mb is too low for an edge node", "memory_mb", cfg.MemoryMB)
+	}
+	settings := cfg.Settings
+	settings.MaxCustomers = plan.MaxCustomers()
+	g, err := policy.New(settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	clk := clock{time.Now()}
-	up := newUpstream(clk, roster.NewDirectory(), cfg.Settings.ReportNames)
-	clients, servers := connLimits(cfg)
+	directory := roster.NewDirectory()
+	directory.SetLimit(plan.MaxServerLines())
+	up := newUpstream(clk, directory, cfg.Settings.ReportNames)
+	up.memory = memory.NewPool(plan.ResponseBytes)
+	clients, servers := connLimits(cfg, plan)
 	up.applyConfig(cfg, servers)
-	n := &Node{cfg: cfg, history: h, restoreFrom: snapshots, cancelShutdown: make(chan chan error),
-		upstream: up, loop: newLoop(clk, g, up)}
+	n := &Node{cfg: cfg, memoryPlan: plan, history: h, restoreFrom: snapshots,
+		cancelShutdown: make(chan chan error), upstream: up, loop: newLoop(clk, g, up)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.server = newHTTPServer(clk, h.Current(), up, n.loop.events, clients)
+	n.server = newHTTPServer(clk, h.Current(), up, n.loop.events, clients,
+		memory.NewPool(plan.RequestBytes))
 	n.publish()
 	n.loop.generation, n.loop.onApply, n.loop.reparse = h.Current(), n.onApply, n.server.parseHeaders
 	n.loop.pollsDiscovery = cfg.Settings.MustWatch
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -5,11 +5,18 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+
+	"valvering.example/valvering/internal/memory"
 )
 
-// maxReadAhead limits the bytes that are read from a client before its response is sent, for each open
-// connection. It is the size of the largest head. Further bytes stay in the kernel's receive buffer.
-const maxReadAhead = maxHeadBytes
+const (
+	// maxReadAhead limits the bytes that are read from a client before its response is sent, for each open
+	// connection. It is the size of the largest head. Further bytes stay in the kernel's receive buffer.
+	maxReadAhead = maxHeadBytes
+
+	// readAheadStep is the size of a read and of a reservation of memory.
+	readAheadStep = 2 << 10
+)
 
 // States of a TCP connection on Linux in which the peer has not closed its side.
 const (
@@ -36,9 +43,56 @@
 	mu               sync.Mutex
 	awaitingResponse bool // the client waits for a response: the connection's goroutine does not read
 	buf              []byte
+	full             bool  // nothing more is read ahead: the buffer is full, or there is no memory for more
+	reserved         int   // bytes of memory reserved for buf
 	readErr          error // read error or io.EOF, after the bytes in buf
 }
 
+// reserve reserves memory for a further read and returns the number of bytes that may be read; 0: the buffer is
+// full, or there is no memory. The caller holds the mutex.
+func (a *readAhead) reserve(pool *memory.Pool) int {
+	size := min(len(a.buf)+readAheadStep, maxReadAhead)
+	if missing := size - a.reserved; missing > 0 {
+		if !pool.TryReserve(missing) {
+			return 0
+		}
+		a.reserved = size
+	}
+	return size - len(a.buf)
+}
+
+// add appends bytes for which memory is reserved. The caller holds the mutex.
+func (a *readAhead) add(b []byte) {
+	if len(a.buf)+len(b) > cap(a.buf) {
+		a.buf = append(make([]byte, 0, a.reserved), a.buf...)
+	}
+	a.buf = append(a.buf, b...)
+}
+
+// releaseUnused releases what is reserved and not allocated. The caller holds the mutex.
+func (a *readAhead) releaseUnused(pool *memory.Pool) {
+	if unused := a.reserved - cap(a.buf); unused > 0 {
+		pool.Release(unused)
+		a.reserved -= unused
+	}
+}
+
+// take moves buffered bytes to b. Once none are left it frees the buffer.
+func (a *readAhead) take(b []byte, pool *memory.Pool) int {
+	n := copy(b, a.buf)
+	a.full = false
+	if a.buf = a.buf[:copy(a.buf, a.buf[n:])]; len(a.buf) == 0 {
+		a.free(pool)
+	}
+	return n
+}
+
+// free discards the buffered bytes. The caller holds the mutex.
+func (a *readAhead) free(pool *memory.Pool) {
+	pool.Release(a.reserved)
+	a.buf, a.reserved, a.full = nil, 0, false
+}
+
 // beginWait marks that the client waits for a response.
 func (a *readAhead) beginWait() {
 	a.mu.Lock()
@@ -58,10 +112,7 @@
 	a := &cc.readAhead
 	a.mu.Lock()
 	if len(a.buf) > 0 {
-		n := copy(b, a.buf)
-		if a.buf = a.buf[n:]; len(a.buf) == 0 {
-			a.buf = nil
-		}
+		n := a.take(b, cc.memory)
 		a.mu.Unlock()
 		return n, nil
 	}
@@ -78,7 +129,7 @@
 func (cc *clientConn) disconnectHidden() bool {
 	cc.readAhead.mu.Lock()
 	defer cc.readAhead.mu.Unlock()
-	return len(cc.readAhead.buf) >= maxReadAhead
+	return cc.readAhead.full
 }
 
 // disconnected reports whether the client has closed or reset its connection or shut down sending. It does
@@ -100,10 +151,10 @@
 	}
 	ended := false
 	err = raw.Control(func(fd uintptr) {
-		var b [2 << 10]byte
-		for len(a.buf) < maxReadAhead {
-			n, _, err := syscall.Recvfrom(int(fd), b[:min(len(b), maxReadAhead-len(a.buf))],
-				syscall.MSG_DONTWAIT)
+		defer a.releaseUnused(cc.memory)
+		var b [readAheadStep]byte
+		for room := a.reserve(cc.memory); room > 0; room = a.reserve(cc.memory) {
+			n, _, err := syscall.Recvfrom(int(fd), b[:room], syscall.MSG_DONTWAIT)
 			switch {
 			case err == syscall.EAGAIN || err == syscall.EINTR: // the next call reads more
 				return
@@ -114,8 +165,9 @@
 				a.readErr = io.EOF
 				return
 			}
-			a.buf = append(a.buf, b[:n]...)
+			a.add(b[:n])
 		}
+		a.full = true
 		ended = peerEndedSending(int(fd))
 	})
 	return err != nil || a.readErr != nil || ended
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/memory"
 	"valvering.example/valvering/internal/snapshot"
 )
 
@@ -38,6 +39,8 @@
 	Disconnects      Disconnects
 
 	Unsolicited Unsolicited
+	Requests    memory.Usage // memory for requests
+	Responses   memory.Usage // memory for responses of servers
 }
 
 // Disconnects counts the requests whose client disconnected before their first attempt was written,
@@ -58,6 +61,7 @@
 	s.Disconnects = Disconnects{disconnects.held.Load(), disconnects.dialing.Load(),
 		disconnects.writing.Load(), disconnects.hidden.Load()}
 	s.Unsolicited = n.upstream.unsolicited.load()
+	s.Requests, s.Responses = n.server.memory.Usage(), n.upstream.memory.Usage()
 	if n.duties != nil {
 		s.Duties = n.duties.status()
 	}
@@ -162,7 +166,7 @@
 // onApply applies a generation outside the policy module. The loop calls it between two events.
 func (n *Node) onApply(next *config.Generation) {
 	n.server.generation.Store(next)
-	clients, servers := connLimits(next.File)
+	clients, servers := connLimits(next.File, n.memoryPlan)
 	n.upstream.applyConfig(next.File, servers)
 	n.server.setLimit(clients)
 	n.discovery.applyConfig(next.File)
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -322,7 +322,7 @@
 	cr.startLine, cr.bodyLength = []byte("GET /lookup HTTP/1.1"), -2
 	for k, v := range map[string]string{"X-Request-Id": "1", "X-Class": "lookup", "X-Tier": "tiny",
 		"Cookie": "key=00000000b4d65521", "X-Deadline-Ms": "9000"} {
-		cr.fields = append(cr.fields, field{[]byte(k), []byte(v)})
+		cr.addField(k, v)
 	}
 	if err := cr.parseRequestLine(); err != nil {
 		t.Fatal(err)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/memory"
 	"valvering.example/valvering/policy"
 )
 
@@ -40,6 +41,7 @@
 	clock      clock
 	generation atomic.Pointer[config.Generation] // in force
 	upstream   *upstream
+	memory     *memory.Pool // for requests; nil: no limit
 	events     chan<- any
 	ready      atomic.Bool
 	draining   atomic.Bool
@@ -60,7 +62,9 @@
 	readAhead   readAhead
 	request     clientRequest
 	writeBuf    []byte
-	badRequests int // invalid requests since the last valid one
+	badRequests int          // invalid requests since the last valid one
+	memory      *memory.Pool // for requests; nil: no limit
+	server      *httpServer
 
 	// Guarded by the server's mutex.
 	state          connState
@@ -68,6 +72,8 @@
 	carriedRequest bool          // has carried a valid request
 	carriedProbe   bool          // has carried a readiness probe
 	closing        bool          // is being closed: nothing more is sent, and no request is processed
+	reserved       int           // bytes of memory reserved for the request
+	displaced      bool          // its request was too slow and gave way to another one that needed memory
 	// closed is set when the lingering close was cut short because its descriptor was needed.
 	closed bool
 }
@@ -87,11 +93,18 @@
 	body           []byte
 }
 
+// reset drops the values, which refer to a read buffer.
+func (r *clientRequest) reset() {
+	r.head.reset()
+	r.method, r.target, r.body = nil, nil, nil
+}
+
 // newHTTPServer returns a server for at most limit connections at once, including those that are being
 // closed.
 func newHTTPServer(c clock, generation *config.Generation, up *upstream, events chan<- any,
-	limit int) *httpServer {
-	s := &httpServer{clock: c, upstream: up, events: events, conns: map[*clientConn]struct{}{}}
+	limit int, requests *memory.Pool) *httpServer {
+	s := &httpServer{clock: c, upstream: up, events: events, memory: requests,
+		conns: map[*clientConn]struct{}{}}
 	s.divideLimit(limit)
 	s.generation.Store(generation)
 	return s
@@ -187,8 +200,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	full := len(s.conns)-s.closingConns >= s.maxConns && !s.closeLeastUseful()
-	cc := &clientConn{Conn: c, stateSince: s.clock.now()}
-	cc.input.src = cc
+	cc := &clientConn{Conn: c, stateSince: s.clock.now(), memory: s.memory, server: s}
+	cc.input.src, cc.input.memory = cc, cc
 	s.conns[cc] = struct{}{}
 	if full {
 		s.beginClose(cc)
@@ -274,6 +287,7 @@
 		return false
 	}
 	cc.state, cc.carriedRequest, s.lastRequest = connBusy, true, s.clock.now()
+	cc.displaced = false // the whole request had arrived
 	return true
 }
 
@@ -283,6 +297,7 @@
 	readTimeout := time.Duration(0) // firstRequestTimeout covers the whole first request
 	for idleTimeout := firstRequestTimeout; ; idleTimeout, readTimeout = clientIdleTimeout, requestTimeout {
 		cc.input.discardRead()
+		cc.request.reset()
 		if !s.awaitRequest(cc, idleTimeout) {
 			return // idle timeout, disconnected, or being closed
 		}
@@ -290,9 +305,7 @@
 			return
 		}
 		if err := cc.readRequest(); err != nil {
-			if status := errorStatus(err); status != 0 {
-				s.rejectAndClose(cc, status, err)
-			}
+			s.rejectUnread(cc, err)
 			return
 		}
 		if !s.handle(cc) {
@@ -327,7 +340,7 @@
 		return err
 	}
 	if _, n := r.lookup("Expect"); n > 0 && r.bodyLength > cc.input.buffered() {
-		if err := cc.write(append(cc.writeBuf[:0], "HTTP/1.1 100 Continue\r\n\r\n"...)); err != nil {
+		if err := cc.write(append(cc.writeBuf[:0], "HTTP/1.1 100 Continue\r\n\r\n"...), nil); err != nil {
 			return err
 		}
 	}
@@ -336,6 +349,17 @@
 	return err
 }
 
+// rejectUnread answers a request that can't be read. The connection is closed then.
+func (s *httpServer) rejectUnread(cc *clientConn, err error) {
+	if errors.Is(err, memory.ErrFull) || s.wasDisplaced(cc) {
+		s.refuseForMemory(cc)
+		return
+	}
+	if status := errorStatus(err); status != 0 {
+		s.rejectAndClose(cc, status, "", err.Error())
+	}
+}
+
 // errorStatus returns the status of the response to a request that can't be read, or 0 for no response.
 func errorStatus(err error) int {
 	switch {
@@ -351,16 +375,16 @@
 	return 0
 }
 
-// rejectAndClose answers an invalid request, after which the connection is closed.
-func (s *httpServer) rejectAndClose(cc *clientConn, status int, err error) {
+// rejectAndClose answers a request that is not processed, after which the connection is closed.
+func (s *httpServer) rejectAndClose(cc *clientConn, status int, fields, reason string) {
 	if s.setState(cc, connReading, 0) { // false: it is being closed already
-		_ = s.writeResponse(cc, status, "Connection: close\r\n", err.Error())
+		_ = s.writeResponse(cc, status, fields+"Connection: close\r\n", []byte(reason))
 	}
 }
 
-// writeResponse writes a response with a single write.
-func (s *httpServer) writeResponse(cc *clientConn, status int, fields, body string) error {
-	return cc.write(append(appendResponseHead(cc.writeBuf[:0], status, fields, len(body)), body...))
+// writeResponse writes a response, with a single write if it is small.
+func (s *httpServer) writeResponse(cc *clientConn, status int, fields string, body []byte) error {
+	return cc.write(appendResponseHead(cc.writeBuf[:0], status, fields, len(body)), body)
 }
 
 // appendResponseHead appends the head of a response. Each of fields ends with CRLF.
@@ -380,15 +404,15 @@
 	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
 	502: "Bad Gateway", 503: "Service Unavailable"}
 
-// write writes b, whose memory is reused for the next response.
-func (cc *clientConn) write(b []byte) error {
-	if cc.writeBuf = b; cap(b) > 4*minBufferBytes {
-		cc.writeBuf = nil // frees a large buffer
-	}
+// write writes a head, whose memory is reused for the next response, and a body.
+func (cc *clientConn) write(head, body []byte) error {
 	if err := cc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err := cc.Write(b)
+	buf, _, err := writeMessage(cc, head, body)
+	if cc.writeBuf = buf; cap(buf) > smallBufferBytes {
+		cc.writeBuf = nil // frees a large buffer
+	}
 	return err
 }
 
@@ -419,21 +443,31 @@
 			return s.respondUnserved(cc, cmd)
 		}
 		res := s.upstream.do(cmd.attempt, r)
-		s.events <- outcome{c, cmd.attempt, res}
+		s.events <- outcome{c, cmd.attempt, res.withoutResponse()}
 		if res.code == policy.OK {
-			cc.badRequests = 0
-			fields := ""
-			if len(res.contentType) > 0 {
-				fields = "Content-Type: " + res.contentType + "\r\n"
-			}
-			return s.respond(cc, 200, fields, res.body)
+			return s.respondServed(cc, &res)
 		}
 	}
 	return false
 }
 
+// respondServed writes a server's response. It returns false if the connection must be closed.
+func (s *httpServer) respondServed(cc *clientConn, res *result) bool {
+	defer s.upstream.memory.Release(res.reserved)
+	cc.badRequests = 0
+	fields := ""
+	if len(res.contentType) > 0 {
+		fields = "Content-Type: " + res.contentType + "\r\n"
+	}
+	return s.respondBytes(cc, 200, fields, res.body)
+}
+
 // respond writes the response to a request. It returns false if the connection must be closed.
 func (s *httpServer) respond(cc *clientConn, status int, fields, body string) bool {
+	return s.respondBytes(cc, status, fields, []byte(body))
+}
+
+func (s *httpServer) respondBytes(cc *clientConn, status int, fields string, body []byte) bool {
 	cc.readAhead.endWait()
 	closeAfter := s.draining.Load() || cc.request.wantsClose() || s.exceedsLimit()
 	if closeAfter {
@@ -450,7 +484,7 @@
 		time.Sleep(badRequestDelay)
 		return keepOpen
 	}
-	s.rejectAndClose(cc, status, errors.New(reason))
+	s.rejectAndClose(cc, status, "", reason)
 	return false
 }
 
--- a/internal/node/unsolicited.go
+++ b/internal/node/unsolicited.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -90,8 +89,8 @@
 
 // readAvailable reads the bytes in the receive buffer without blocking.
 func (c *upstreamConn) readAvailable() {
-	if len(c.input.buf) == cap(c.input.buf) {
-		c.input.buf = slices.Grow(c.input.buf, minBufferBytes)
+	if len(c.input.buf) == cap(c.input.buf) && c.input.makeRoom() != nil {
+		return
 	}
 	space := c.input.buf[len(c.input.buf):cap(c.input.buf)]
 	_ = c.control(func(fd int) error {
@@ -119,7 +118,7 @@
 	if c.moreUnread && c.input.buffered() == 0 {
 		c.readAvailable()
 	}
-	first, second := c.input.buf[:c.input.off], c.input.buf[c.input.off:]
+	first, second := c.input.firstBytes(), c.input.buf[c.input.off:]
 	length := min(len(first), len(second))
 	if !bytes.HasPrefix(second, []byte(responsePrefix)) || bytes.Equal(first[:length], second[:length]) {
 		return false
--- a/internal/node/upconn.go
+++ b/internal/node/upconn.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
+
+	"valvering.example/valvering/internal/memory"
 )
 
 const (
@@ -23,8 +26,27 @@
 	moreUnread    bool          // the first read of the response left bytes in the socket's receive buffer
 	unsolicited   bool          // the server sent bytes that answer no request
 	counts        *unsolicitedCounts
+	clock         clock
+	attempt       *attempt     // in flight; nil: none
+	memory        *memory.Pool // for responses
 }
 
+// reserve reserves memory for a response. It waits until there is some or the attempt ends; the server's
+// bytes wait in the socket meanwhile. It is called by the goroutine of the attempt alone.
+func (c *upstreamConn) reserve(n int) error {
+	if c.memory.TryReserve(n) {
+		return nil
+	}
+	ctx, cancel, ok := c.attempt.waitContext(c.clock)
+	if !ok {
+		return context.Canceled
+	}
+	defer cancel()
+	return c.memory.Reserve(ctx, n)
+}
+
+func (c *upstreamConn) release(n int) { c.memory.Release(n) }
+
 // Read fails if a response stalls after its first bytes, or if the first bytes can't belong to the
 // response.
 func (c *upstreamConn) Read(b []byte) (int, error) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"valvering.example/valvering/internal/config"
+	"valvering.example/valvering/internal/memory"
 	"valvering.example/valvering/internal/roster"
 	"valvering.example/valvering/policy"
 )
@@ -26,6 +27,9 @@
 	// A load report with a larger value is rejected.
 	maxLoadValue = 1e6
 
+	// A longer content type is not forwarded.
+	maxContentTypeBytes = 256
+
 	// An idle connection is not reused before this delay: stray bytes that follow a response must not be
 	// read as the response to the next request.
 	reuseDelay = 5 * time.Millisecond
@@ -40,6 +44,7 @@
 	loadFields []string      // names of the fields of load reports, in the order of the policy module
 
 	directory   *roster.Directory
+	memory      *memory.Pool // for responses; nil: no limit
 	unsolicited unsolicitedCounts
 
 	mu          sync.Mutex
@@ -81,7 +86,20 @@
 	clientDisconnected bool // the client had disconnected by the time of the write
 	disconnectHidden   bool // a disconnect could not be detected at the time of the write
 	conn               *upstreamConn
-	cancelDial         context.CancelFunc
+	cancelWait         context.CancelFunc // of a dial, or of a wait for memory
+}
+
+// waitContext returns a context that ends with the attempt: at its deadline or when it is cancelled. ok is
+// false if the attempt is already cancelled. At most one such context is in use at a time.
+func (a *attempt) waitContext(clock clock) (ctx context.Context, cancel context.CancelFunc, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cancelled {
+		return nil, nil, false
+	}
+	ctx, cancel = context.WithDeadline(context.Background(), clock.time(a.deadline))
+	a.cancelWait = cancel
+	return ctx, cancel, true
 }
 
 // cancel aborts the attempt. The goroutine that executes the attempt then reports its outcome.
@@ -107,8 +125,8 @@
 // stop aborts the dial or closes the connection. The caller holds a.mu.
 func (a *attempt) stop() {
 	a.cancelled = true
-	if a.cancelDial != nil {
-		a.cancelDial()
+	if a.cancelWait != nil {
+		a.cancelWait()
 	}
 	if a.conn != nil {
 		a.conn.Close()
@@ -232,7 +250,8 @@
 		return nil, "", false
 	}
 	u.open++
-	return &upstreamConn{incarnation: s.Incarnation, counts: &u.unsolicited}, s.Addr.String(), true
+	c = &upstreamConn{incarnation: s.Incarnation, counts: &u.unsolicited, clock: u.clock, memory: u.memory}
+	return c, s.Addr.String(), true
 }
 
 // closeOldestIdle closes the connection that has been idle the longest. It returns false if none is
@@ -256,6 +275,7 @@
 
 // discard closes a connection that can't be reused or whose dial failed.
 func (u *upstream) discard(c *upstreamConn) {
+	c.input.discardAll()
 	if c.Conn != nil {
 		c.Close()
 	}
@@ -317,7 +337,14 @@
 	load        []float64
 	badRequest  bool   // the server answered with a 4xx status
 	contentType string // of a successful response
-	body        string
+	body        []byte
+	reserved    int // bytes of memory reserved for the body; the receiver of the result releases them
+}
+
+// withoutResponse returns the outcome alone, without the response itself.
+func (r result) withoutResponse() result {
+	r.contentType, r.body, r.reserved = "", nil, 0
+	return r
 }
 
 // do executes an attempt. Unless the response was complete, do closes the connection before it
@@ -333,7 +360,7 @@
 			u.discard(c)
 			return a.unsentResult()
 		}
-		c.input.src = c
+		c.input.src, c.input.memory = c, c
 	}
 	now := u.clock.now()
 	switch {
@@ -344,7 +371,9 @@
 		u.discard(c)
 		return a.unsentResult()
 	}
+	c.attempt = a
 	r, reuse := u.exchange(a, c, req, a.deadline-now)
+	c.attempt = nil
 	if c.lastUsed > 0 {
 		u.mu.Lock()
 		u.ages.record(now-c.lastUsed, u.clock.now()-now, r.code, len(c.input.buf) > 0 || c.unsolicited)
@@ -371,22 +400,18 @@
 
 // connect dials a server. Cancelling the attempt aborts the dial.
 func (u *upstream) connect(a *attempt, addr string) (net.Conn, error) {
-	ctx, cancel := context.WithDeadline(context.Background(), u.clock.time(a.deadline))
-	defer cancel()
-	a.mu.Lock()
-	if a.cancelled {
-		a.mu.Unlock()
+	ctx, cancel, ok := a.waitContext(u.clock)
+	if !ok {
 		return nil, context.Canceled
 	}
-	a.cancelDial = cancel
-	a.mu.Unlock()
+	defer cancel()
 	u.mu.Lock()
 	dialer := u.dialer
 	u.mu.Unlock()
 	return dialer.DialContext(ctx, "tcp", addr)
 }
 
-// exchange writes the request in one call and reads the response. It also reports whether the
+// exchange writes the request, with a single write if its body is small, and reads the response. It also reports whether the
 // connection can be reused. The number of bytes written decides the outcome of a failure: until the
 // last byte is written the request can't have run; after that it may have.
 func (u *upstream) exchange(a *attempt, c *upstreamConn, req *clientRequest,
@@ -396,15 +421,16 @@
 		return result{code: policy.ConnectFailed}, false
 	}
 	msg := requestBuffers.Get().(*[]byte)
-	b := appendRequest((*msg)[:0], req, remaining)
+	b := appendRequestHead((*msg)[:0], req, remaining)
 	if !c.quietBeforeWrite() {
 		requestBuffers.Put(msg)
 		return result{code: policy.ConnectFailed}, false
 	}
-	c.requestLength, c.moreUnread = len(b), false
-	n, err := c.Write(b)
-	complete := n == len(b)
-	if *msg = b; cap(b) <= 4*minBufferBytes {
+	total := len(b) + len(req.body)
+	c.requestLength, c.moreUnread = total, false
+	b, n, err := writeMessage(c, b, req.body)
+	complete := n == total
+	if *msg = b; cap(b) <= 2*smallBufferBytes {
 		requestBuffers.Put(msg)
 	}
 	if !complete {
@@ -416,7 +442,8 @@
 		status, body, framed, err = c.readResponse()
 	}
 	if err != nil {
-		if errors.Is(err, os.ErrDeadlineExceeded) && u.clock.now() >= a.deadline {
+		late := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, memory.ErrFull)
+		if late && u.clock.now() >= a.deadline {
 			return result{code: policy.TimedOut}, false
 		}
 		return result{code: policy.Reset}, false
@@ -429,7 +456,8 @@
 	case status == 200 && !framed:
 		r.code = policy.Reset // the end of the body can't be told from a broken connection
 	case status == 200:
-		r.code, r.contentType, r.body = policy.OK, string(c.head.get("Content-Type")), string(body)
+		r.code, r.contentType = policy.OK, c.head.contentType()
+		r.body, r.reserved = c.input.takeBody(body)
 	case (status == 503 || status == 504) && string(c.head.get("X-Not-Run")) == "1":
 		r.code = policy.Full
 	case status/100 == 4:
@@ -438,16 +466,26 @@
 	// Bytes that follow a response belong to no request.
 	reuse := framed && c.input.buffered() == 0 && !c.head.listContains("Connection", "close")
 	c.input.discardRead()
+	c.head.reset()
 	return r, reuse
 }
 
+// contentType returns the type of the body, or "" if it is missing or too long.
+func (h *head) contentType() string {
+	value := h.get("Content-Type")
+	if len(value) > maxContentTypeBytes {
+		return ""
+	}
+	return string(value)
+}
+
 var requestBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
 
 var forwardedHeaders = []string{"Host", "X-Request-Id", "Idempotency-Key", "X-Class", "Content-Type"}
 
-// appendRequest appends the request as it is sent to a server. Of the client's headers it
+// appendRequestHead appends the head of the request as it is sent to a server. Of the client's headers it
 // forwards only those in forwardedHeaders.
-func appendRequest(b []byte, req *clientRequest, remaining time.Duration) []byte {
+func appendRequestHead(b []byte, req *clientRequest, remaining time.Duration) []byte {
 	b = append(b, req.method...)
 	b = append(b, ' ')
 	b = append(b, req.target...)
@@ -466,8 +504,7 @@
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(req.body)), 10)
 	}
-	b = append(b, "\r\n\r\n"...)
-	return append(b, req.body...)
+	return append(b, "\r\n\r\n"...)
 }
 
 // loadFieldAliases maps field names of the settings to the names that servers use in load reports,
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -34,7 +34,7 @@
 			panic(err)
 		}
 		r := u.do(a, &in.request)
-		return r, r.body
+		return r, string(r.body)
 	}
 }
 
@@ -472,8 +472,9 @@
 		"TEXT":                              nil,
 		fmt.Sprintf("TEXT %0300d=,,,=,", 1): nil,
 	} {
-		if got := u.parseLoad(&head{fields: []field{{[]byte("X-Load"),
-			[]byte(text)}}}); !reflect.DeepEqual(got, want) {
+		var h head
+		h.addField("X-Load", text)
+		if got := u.parseLoad(&h); !reflect.DeepEqual(got, want) {
 			t.Errorf("%q: %v, want %v", text, got, want)
 		}
 	}
