Show message memory in /status, and check one bounded file at a time

The known list of a file, which only a start uses, is dropped after it and from reloaded files: at the planned size it took some 7 MB for each generation. /status shows limit, use, peak and failures of both pools of messages.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -36,6 +36,11 @@
 	maxConns       = 4       // these use file descriptors that clients and servers leave free
 	maxHeaderBytes = 8 << 10 // bytes
 
+	// minCheckedBytes is the size of a file that /check accepts with any memory limit.
+	minCheckedBytes = 1 << 20
+	// checkedFraction is the fraction of the memory limit that such a file may have.
+	checkedFraction = 1.0 / 16
+
 	headTimeout   = 2 * time.Second
 	bodyTimeout   = 10 * time.Second
 	answerTimeout = 30 * time.Second // a command may wait for a half-written file and other commands
@@ -99,8 +104,18 @@
 	return nil
 }
 
+// checkedBytes returns the largest size of a file that /check accepts, by the memory limit in force.
+func checkedBytes(s node.Status) int64 {
+	if s.Current == nil || s.Current.File == nil || s.Current.File.MemoryMB <= 0 {
+		return config.MaxFileBytes
+	}
+	fraction := int64(checkedFraction * float64(s.Current.File.MemoryMB<<20))
+	return min(config.MaxFileBytes, max(minCheckedBytes, fraction))
+}
+
 func handler(o EdgeNode) http.Handler {
 	mux := http.NewServeMux()
+	var checking sync.Mutex
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, http.StatusOK, statusOf(o.Status()))
 	})
@@ -120,7 +135,9 @@
 		fail(w, http.StatusNotFound, fmt.Errorf("no duty %q", name))
 	})
 	mux.HandleFunc("POST /check", func(w http.ResponseWriter, r *http.Request) {
-		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, config.MaxFileBytes))
+		checking.Lock() // one file in memory at a time
+		defer checking.Unlock()
+		raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, checkedBytes(o.Status())))
 		if err != nil {
 			fail(w, http.StatusRequestEntityTooLarge, err)
 			return
@@ -190,6 +207,21 @@
 	Loop        loopLag     `json:"loop"`
 	Disconnects disconnects `json:"clients_left"`
 	Unsolicited unsolicited `json:"unsolicited_bytes"`
+	Memory      messages    `json:"message_memory"`
+}
+
+// messages is the memory for messages that need more than the fixed memory of their connection.
+type messages struct {
+	Requests  pool `json:"requests"`
+	Responses pool `json:"responses"`
+}
+
+// pool is the state of a memory.Pool in bytes.
+type pool struct {
+	Limit    int64 `json:"limit"`
+	Reserved int64 `json:"reserved"`
+	Peak     int64 `json:"peak"`    // since the start
+	Refused  int64 `json:"refused"` // messages that found no memory
 }
 
 // unsolicited counts connections to servers that were closed because of bytes without a
@@ -267,7 +299,8 @@
 		Generation:  generation{s.Current.Number, s.Current.Digest, s.Current.Time},
 		Loop:        loopLag{milliseconds(s.Lag), milliseconds(s.MaxLag), s.Heartbeats},
 		Disconnects: disconnects(s.Disconnects),
-		Unsolicited: unsolicited(s.Unsolicited)}
+		Unsolicited: unsolicited(s.Unsolicited),
+		Memory:      messages{pool(s.Requests), pool(s.Responses)}}
 	if s.Previous != nil {
 		out.Before = &generation{s.Previous.Number, s.Previous.Digest, s.Previous.Time}
 	}
--- a/internal/config/history.go
+++ b/internal/config/history.go
@@ -166,6 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.KnownServers = nil // used at a start only
 	if faults := fixedFieldFaults(h.current.File, f); len(faults) > 0 {
 		return nil, faults
 	}
--- a/internal/node/snapshots.go
+++ b/internal/node/snapshots.go
@@ -92,6 +92,7 @@
 // them a second time.
 func (n *Node) restore(snapshots *Snapshots) (listFresh bool) {
 	known := n.cfg.KnownServers
+	n.cfg.KnownServers = nil // a large list takes much memory, and nothing else uses it
 	if snapshots == nil {
 		n.postRememberedList(known)
 		return false
