Count the state of servers in small fleets, and shorten errors that repeat a field

A small fleet's policy module keeps state of each listed server, 816 bytes a line in all where the plan had 500: the directory's limit allows for it now, and in a fleet with roots the servers that datagrams may add are no more than the customers (TestServerLineTakesPlannedMemory for both fleets). A 400 repeated X-Tier, X-Class or a key of X-Call-Terms, escaped, for a client that may not read it: 32,791 bytes of response to a field of 8 KiB, under 1 KB now (TestErrorsAreShort failed before).

The test of the real program has the longest list in force beside all greedy forms at once.

--- a/cmd/valvering/memory_test.go
+++ b/cmd/valvering/memory_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"valvering.example/valvering/internal/memory"
 )
 
 const (
@@ -99,7 +101,7 @@
 			continue
 		}
 		_ = c.SetDeadline(time.Now().Add(greedyTime))
-		_, _ = io.WriteString(c, greedyRequest(fmt.Sprintf("g%04x%08x", client, i), client)+text)
+		_, _ = io.WriteString(c, greedyRequest(fmt.Sprintf("g%04x%08x", client, i), client<<16+i)+text)
 		if reads {
 			_, _ = io.Copy(io.Discard, c)
 		} else {
@@ -175,12 +177,26 @@
 			s.checkServes()
 		})
 	}
-	if peak := s.runGreedyClients(all, true); peak > greedyMemoryMB {
-		t.Errorf("all forms at once: %.1f MB resident with a limit of %d", peak, greedyMemoryMB)
+	s.setServers(s.longList())
+	s.awaitLog("more servers than there is memory for")
+	peak := s.runGreedyClients(all, true)
+	t.Logf("all forms at once, with a long list: %.1f MB resident at most", peak)
+	if peak > greedyMemoryMB {
+		t.Errorf("all forms at once, with a long list: %.1f MB resident with a limit of %d", peak, greedyMemoryMB)
 	}
 	s.checkServes()
 }
 
+// longList returns the longest list that the program accepts. All its servers have the addresses of the sound
+// ones.
+func (s *deployment) longList() []string {
+	lines := make([]string, memory.NewPlan(s.memoryMB).MaxServerLines())
+	for i := range lines {
+		lines[i] = s.servers[i%len(s.servers)].line(i+1, 0)
+	}
+	return lines
+}
+
 // greedyServer is a server that sends the same text to each request and leaves the connection open for a
 // while, or closes it.
 func greedyServer(t *testing.T, text string, closes bool) net.Listener {
--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -49,7 +49,15 @@
 	// line in a new list that is being decoded.
 	ServerLineBytes = 500
 
-	// CustomerBytes is for a customer's counts, with the parts that other edge nodes report.
+	// DecodedLineBytes is the part of ServerLineBytes for the line that is being decoded.
+	DecodedLineBytes = 256
+
+	// Further memory of a server of which package policy keeps state, and of each class in that state.
+	TrackedServerBytes = 384
+	TrackedClassBytes  = 64
+
+	// CustomerBytes is for a customer's counts, with what other edge nodes report of it or, in a fleet with
+	// roots, with a request that one of them has asked for and a server's state that one of them has sent.
 	CustomerBytes = 1536
 )
 
@@ -97,6 +105,13 @@
 // MaxServerLines returns the number of lines that a server list may have.
 func (p Plan) MaxServerLines() int { return max(1, int(p.ServerListBytes/ServerLineBytes)) }
 
+// MaxServers returns the number of servers that may be known, each with the given memory beside that of its
+// line.
+func (p Plan) MaxServers(stateBytes int) int {
+	const knownBytes = ServerLineBytes - DecodedLineBytes
+	return max(1, p.MaxServerLines()*knownBytes/(knownBytes+stateBytes))
+}
+
 // Fits reports whether a limit in MiB is high enough for the program itself.
 func Fits(limitMB int) bool {
 	return limitMB <= 0 || liveShare*float64(GoLimit(limitMB)) >= programBytes+minLiveBytes
--- a/internal/memory/plan_test.go
+++ b/internal/memory/plan_test.go
@@ -48,6 +48,10 @@
 	if n := NewPlan(32).MaxServerLines(); n < 3200 {
 		t.Errorf("%d servers at 32 MB", n)
 	}
+	if p := NewPlan(64); p.MaxServers(0) != p.MaxServerLines() ||
+		p.MaxServers(500)*(ServerLineBytes-DecodedLineBytes+500)+p.MaxServerLines()*DecodedLineBytes > int(p.ServerListBytes) {
+		t.Errorf("%d servers with state of %d lines", p.MaxServers(500), p.MaxServerLines())
+	}
 }
 
 func TestPool(t *testing.T) {
--- a/internal/node/memory_cost_test.go
+++ b/internal/node/memory_cost_test.go
@@ -47,29 +47,35 @@
 			`"state":"SERVING","capacity_hint":1,"boot_ms":0}`, ","[:min(i, 1)], i, i>>16, i>>8&255, i&255, i%18, i%1000)
 	}
 	text.WriteString(`]}`)
-	before := liveHeap()
-	g, directory := gatewayOf(t, 6200), roster.NewDirectory()
-	l := &loop{upstream: &upstream{directory: directory}}
-	decode := func() *serverList {
-		list, err := roster.Decode(strings.NewReader(text.String()), roster.LimitsFor(192))
-		if err != nil {
-			t.Fatal(err)
+	for _, fleet := range []struct {
+		gateways int
+		planned  int64
+	}{{6200, memory.ServerLineBytes},
+		{13, memory.ServerLineBytes + memory.TrackedServerBytes + memory.TrackedClassBytes}} {
+		before := liveHeap()
+		g, directory := gatewayOf(t, fleet.gateways), roster.NewDirectory()
+		l := &loop{upstream: &upstream{directory: directory}}
+		decode := func() *serverList {
+			list, err := roster.Decode(strings.NewReader(text.String()), roster.LimitsFor(192))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return list
+		}
+		list := decode()
+		directory.Update(list, true, 0, func(policy.ServerID) {})
+		for _, part := range splitList(1, list.Targets, maxPartLines, policy.FullList, policy.Changes) {
+			g.Handle(time.Second, policy.ServerListUpdate{Kind: part.kind, Servers: l.policyServers(part.list.Targets)}, nil)
+		}
+		list = decode()
+		used := liveHeap() - before
+		runtime.KeepAlive(list)
+		runtime.KeepAlive(g)
+		runtime.KeepAlive(directory)
+		t.Logf("%d bytes a line in a fleet of %d", used/servers, fleet.gateways)
+		if used > servers*fleet.planned {
+			t.Errorf("%d bytes a line in a fleet of %d, the plan has %d", used/servers, fleet.gateways, fleet.planned)
 		}
-		return list
-	}
-	list := decode()
-	directory.Update(list, true, 0, func(policy.ServerID) {})
-	for _, part := range splitList(1, list.Targets, maxPartLines, policy.FullList, policy.Changes) {
-		g.Handle(time.Second, policy.ServerListUpdate{Kind: part.kind, Servers: l.policyServers(part.list.Targets)}, nil)
-	}
-	list = decode()
-	used := liveHeap() - before
-	runtime.KeepAlive(list)
-	runtime.KeepAlive(g)
-	runtime.KeepAlive(directory)
-	t.Logf("%d bytes a line", used/servers)
-	if used > servers*memory.ServerLineBytes {
-		t.Errorf("%d bytes a line, the plan has %d", used/servers, memory.ServerLineBytes)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,7 +68,7 @@
 	}
 	clk := clock{time.Now()}
 	directory := roster.NewDirectory()
-	directory.SetLimit(plan.MaxServerLines())
+	directory.SetLimit(maxServers(plan, g, len(cfg.Settings.Classes)))
 	up := newUpstream(clk, directory, cfg.Settings.ReportNames)
 	up.memory = memory.NewPool(plan.ResponseBytes)
 	clients, servers := connLimits(cfg, plan)
@@ -131,6 +131,14 @@
 	return n, nil
 }
 
+// maxServers returns the number of servers that fit the memory plan.
+func maxServers(plan memory.Plan, g *policy.Gateway, classes int) int {
+	if g.TracksAllServers() {
+		return plan.MaxServers(memory.TrackedServerBytes + classes*memory.TrackedClassBytes)
+	}
+	return plan.MaxServerLines()
+}
+
 // Addr returns the address that clients connect to.
 func (n *Node) Addr() net.Addr { return n.listener.Addr() }
 
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -95,7 +95,7 @@
 		known = known || settings.Plans[i].Name == c.Plan
 	}
 	if !known {
-		return fmt.Errorf("X-Tier: unknown plan %q", c.Plan)
+		return fmt.Errorf("X-Tier: unknown plan %.80q", c.Plan)
 	}
 	var err error
 	if c.Customer, err = parseCustomer(string(r.get("Cookie"))); err != nil {
@@ -120,7 +120,7 @@
 		}
 	}
 	if c.class == nil {
-		return fmt.Errorf("X-Class: unknown class %q", c.Class)
+		return fmt.Errorf("X-Class: unknown class %.80q", c.Class)
 	}
 	first, _, _ := strings.Cut(requestPath(r.target)[1:], "/")
 	key := r.get("Idempotency-Key")
@@ -180,7 +180,7 @@
 			r.First, hasFirst = x, true
 		}
 		if !ok {
-			return fmt.Errorf("X-Call-Terms: %q is no whole number, out of range or there twice", k)
+			return fmt.Errorf("X-Call-Terms: %.80q is no whole number, out of range or there twice", k)
 		}
 	}
 	return nil
--- a/internal/node/request_memory_test.go
+++ b/internal/node/request_memory_test.go
@@ -180,3 +180,24 @@
 		t.Errorf("cancelled while it waits: code %d, %d bytes reserved", r.code, u.memory.Usage().Reserved)
 	}
 }
+
+// Guards against errors that repeat a long header field, escaped to four times its size, in responses that
+// their clients don't read.
+func TestErrorsAreShort(t *testing.T) {
+	n := startNodeWithServers(t, newTestServer(t, respondWith("200 OK", "", "hits")).addr())
+	long := strings.Repeat("\x80", maxHeadBytes/2)
+	for field, text := range map[string]string{
+		"X-Tier":       strings.Replace(loanOf("1", 0), "X-Tier: town", "X-Tier: "+long, 1),
+		"X-Class":      strings.Replace(loanOf("2", 0), "X-Class: loan", "X-Class: "+long, 1),
+		"X-Call-Terms": strings.Replace(loanOf("3", 0), "X-Class: loan", "X-Class: loan\r\nX-Call-Terms: "+long+"=x", 1),
+	} {
+		resp, err := http.ReadResponse(bufio.NewReader(sendText(t, n, text)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != 400 || !strings.HasPrefix(string(body), field) || len(body) > 1000 {
+			t.Errorf("%s: status %d, %d bytes, %v", field, resp.StatusCode, len(body), err)
+		}
+	}
+}
--- a/internal/roster/decode.go
+++ b/internal/roster/decode.go
@@ -37,9 +37,8 @@
 
 // Memory of decoded lines, in bytes.
 const (
-	decodedLineBytes = 256 // a line, with strings of typical length
-	typicalStrings   = 64  // total length of a line's strings that decodedLineBytes includes
-	reserveLines     = 32  // typical lines whose memory is reserved at once
+	typicalStrings = 64 // total length of a line's strings that memory.DecodedLineBytes includes
+	reserveLines   = 32 // typical lines whose memory is reserved at once
 )
 
 // LimitsFor derives the limits from the memory limit of the process in MiB. 0 means that
@@ -51,7 +50,7 @@
 	}
 	plan := memory.NewPlan(memoryMB)
 	lines := plan.MaxServerLines()
-	return Limits{Bytes: size, Lines: lines, Memory: memory.NewPool(int64(lines) * decodedLineBytes)}
+	return Limits{Bytes: size, Lines: lines, Memory: memory.NewPool(int64(lines) * memory.DecodedLineBytes)}
 }
 
 // Errors of a list as a whole.
@@ -287,12 +286,12 @@
 		return true
 	}
 	strings := len(t.UID) + len(t.Endpoint) + len(t.Zone)
-	d.used += decodedLineBytes + max(0, strings-typicalStrings)
+	d.used += memory.DecodedLineBytes + max(0, strings-typicalStrings)
 	missing := d.used - d.list.Reserved
 	if missing <= 0 {
 		return true
 	}
-	for _, size := range []int{max(missing, reserveLines*decodedLineBytes), missing} {
+	for _, size := range []int{max(missing, reserveLines*memory.DecodedLineBytes), missing} {
 		if d.memory.TryReserve(size) {
 			d.list.Reserved += size
 			return true
--- a/internal/roster/decode_test.go
+++ b/internal/roster/decode_test.go
@@ -190,9 +190,9 @@
 		lines = append(lines, lineOf(i))
 	}
 	text := `{"targets":[` + strings.Join(lines, ",") + `]}`
-	limits := Limits{Bytes: 1 << 20, Lines: 1000, Memory: memory.NewPool(1500 * decodedLineBytes)}
+	limits := Limits{Bytes: 1 << 20, Lines: 1000, Memory: memory.NewPool(1500 * memory.DecodedLineBytes)}
 	first, err := Decode(strings.NewReader(text), limits)
-	if err != nil || limits.Memory.Usage().Reserved != int64(first.Reserved) || first.Reserved < 1000*decodedLineBytes {
+	if err != nil || limits.Memory.Usage().Reserved != int64(first.Reserved) || first.Reserved < 1000*memory.DecodedLineBytes {
 		t.Fatalf("%v, %+v", err, limits.Memory.Usage())
 	}
 	if _, err := Decode(strings.NewReader(text), limits); !errors.Is(err, ErrTooLong) {
--- a/policy/bounds.go
+++ b/policy/bounds.go
@@ -6,10 +6,13 @@
 // at the cost of the first one's. Therefore a request of a further customer is refused, and a message of
 // another gateway that would need more state is treated like a lost one, as the network may lose any.
 
-// maxTrackedServers is the number of servers with state up to which messages of other gateways may add more.
-// The servers that a gateway uses itself are not limited by it.
+// maxTrackedServers is the number of servers with state up to which messages of other gateways may add more,
+// if MaxCustomers is not lower. The servers that a gateway uses itself are not limited by it.
 const maxTrackedServers = 4096
 
+// TracksAllServers reports whether the gateway keeps state of each listed server, as in a small fleet.
+func (g *Gateway) TracksAllServers() bool { return !g.largeFleet }
+
 // hasRoomFor reports whether a customer is known or may become known.
 func (g *Gateway) hasRoomFor(key uint64) bool {
 	limit := g.settings.MaxCustomers
@@ -42,7 +45,11 @@
 // trackForPeer returns the state of a server that another gateway's message names; nil: it is not in the
 // list, or there is no room for the state of another server.
 func (g *Gateway) trackForPeer(id ServerID) *server {
-	if g.trackedByID[id] == nil && len(g.tracked) >= maxTrackedServers {
+	limit := maxTrackedServers
+	if g.settings.MaxCustomers > 0 {
+		limit = min(limit, g.settings.MaxCustomers)
+	}
+	if g.trackedByID[id] == nil && len(g.tracked) >= limit {
 		return nil
 	}
 	return g.track(id)
--- a/policy/bounds_test.go
+++ b/policy/bounds_test.go
@@ -84,13 +84,15 @@
 
 // Guards against other gateways that make this one keep state of the whole server list.
 func TestTrackedServersAreBounded(t *testing.T) {
-	s := baseSettings()
-	s.Gateways = 100
-	w := newHarness(t, s, testServers(3*maxTrackedServers))
-	for i := range 3 * maxTrackedServers {
-		w.do(PeerMessage{From: 1, Data: encode(verdictMessage{Server: uint32(i + 1), OutOfUse: 1})})
-	}
-	if n := len(w.g.tracked); n > maxTrackedServers+len(w.g.subset) || n < maxTrackedServers {
-		t.Errorf("%d servers tracked, the bound is %d", n, maxTrackedServers)
+	for customers, limit := range map[int]int{0: maxTrackedServers, 1 << 20: maxTrackedServers, 500: 500} {
+		s := baseSettings()
+		s.Gateways, s.MaxCustomers = 100, customers
+		w := newHarness(t, s, testServers(3*maxTrackedServers))
+		for i := range 3 * maxTrackedServers {
+			w.do(PeerMessage{From: 1, Data: encode(verdictMessage{Server: uint32(i + 1), OutOfUse: 1})})
+		}
+		if n := len(w.g.tracked); n > limit+len(w.g.subset) || n < limit || w.g.TracksAllServers() {
+			t.Errorf("%d servers tracked, the bound is %d", n, limit)
+		}
 	}
 }
