Divide the edge node's largest files and functions of start, clients and attempts

Declarations compared without names and comments differ in New and the functions taken out of it alone. Two new tests replaced a pool without the mutex, which the race detector reported: they take it now.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,18 +60,15 @@
 	if !memory.Fits(cfg.MemoryMB) {
 		slog.Warn("limits.memory_mb is too low for an edge node", "memory_mb", cfg.MemoryMB)
 	}
-	settings := cfg.Settings
-	settings.MaxCustomers = plan.MaxCustomers()
-	g, err := policy.New(settings, cfg.Seed)
+	g, err := newGateway(cfg, plan)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, err
 	}
 	clk := clock{time.Now()}
-	directory := roster.NewDirectory()
-	directory.SetLimit(maxServers(plan, g, len(cfg.Settings.Classes)))
-	up := newUpstream(clk, directory, cfg.Settings.ReportNames)
-	up.memory = memory.NewPool(plan.ResponseBytes)
 	clients, servers := connLimits(cfg, plan)
+	up := newUpstream(clk, roster.NewDirectory(), cfg.Settings.ReportNames)
+	up.directory.SetLimit(maxServers(plan, g, len(cfg.Settings.Classes)))
+	up.memory = memory.NewPool(plan.ResponseBytes)
 	up.applyConfig(cfg, servers)
 	n := &Node{cfg: cfg, memoryPlan: plan, history: h, restoreFrom: snapshots,
 		cancelShutdown: make(chan chan error), upstream: up, loop: newLoop(clk, g, up)}
@@ -80,9 +77,34 @@
 		memory.NewPool(plan.RequestBytes))
 	n.publish()
 	n.loop.generation, n.loop.onApply, n.loop.reparse = h.Current(), n.onApply, n.server.parseHeaders
-	n.loop.pollsDiscovery = cfg.Settings.MustWatch
+	n.loop.pollsDiscovery, n.loop.onServerList = cfg.Settings.MustWatch, n.readiness()
+	if err := n.openSockets(clk); err != nil {
+		return nil, err
+	}
+	n.discovery = newDiscovery(cfg, n.loop.postList)
+	if snapshots != nil {
+		n.snapshots = newSnapshotWriter(snapshots.Store, up.directory, n.status.Load)
+		n.loop.snapshots = n.snapshots
+	}
+	return n, nil
+}
+
+// newGateway returns the policy module, whose state fits the memory plan.
+func newGateway(cfg *config.File, plan memory.Plan) (*policy.Gateway, error) {
+	settings := cfg.Settings
+	settings.MaxCustomers = plan.MaxCustomers()
+	g, err := policy.New(settings, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return g, nil
+}
+
+// readiness returns the function that the loop calls at each server list or failed call to discovery. It makes
+// the edge node ready.
+func (n *Node) readiness() func(kind policy.UpdateKind) {
 	hasRememberedList := false // a list of the configuration or of a snapshot is in force
-	n.loop.onServerList = func(kind policy.UpdateKind) {
+	return func(kind policy.UpdateKind) {
 		switch kind {
 		case policy.FullList:
 			n.server.ready.Store(true)
@@ -95,40 +117,50 @@
 			}
 		}
 	}
-	listenDeadline := time.Now().Add(listenRetryTimeout)
-	if cfg.Settings.CanSendMessages {
-		onMessage := func(from int, data []byte) {
-			if n.duties != nil && n.duties.receive(from, data) {
-				return
-			}
-			select {
-			case n.loop.events <- policy.PeerMessage{From: from, Data: data}:
-			default: // dropped: datagrams may be lost anyway
-			}
-		}
-		err := retryListen(listenDeadline, func() (err error) {
-			n.peers, err = listenPeers(cfg.PeerListen, cfg.Peers, cfg.PeersAll, onMessage)
+}
+
+// openSockets opens the socket for datagrams, if edge nodes may send them, and the clients' listener.
+func (n *Node) openSockets(clk clock) error {
+	deadline := time.Now().Add(listenRetryTimeout)
+	if n.cfg.Settings.CanSendMessages {
+		if err := n.openPeers(deadline, clk); err != nil {
 			return err
-		})
-		if err != nil {
-			return nil, err
-		}
-		n.loop.sendToPeer = n.peers.send
-		if len(cfg.Duties) > 0 {
-			n.duties = newDuties(cfg.Duties, cfg.Settings.Self, cfg.Settings.Gateways, cfg.Seed, clk,
-				n.peers.send)
 		}
 	}
-	if err := retryListen(listenDeadline, n.listen); err != nil {
+	if err := retryListen(deadline, n.listen); err != nil {
 		n.closePeers()
-		return nil, err
+		return err
 	}
-	n.discovery = newDiscovery(cfg, n.loop.postList)
-	if snapshots != nil {
-		n.snapshots = newSnapshotWriter(snapshots.Store, up.directory, n.status.Load)
-		n.loop.snapshots = n.snapshots
+	return nil
+}
+
+// openPeers opens the socket for datagrams, and sets up the duties that use it.
+func (n *Node) openPeers(deadline time.Time, clk clock) error {
+	cfg := n.cfg
+	err := retryListen(deadline, func() (err error) {
+		n.peers, err = listenPeers(cfg.PeerListen, cfg.Peers, cfg.PeersAll, n.receiveDatagram)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	n.loop.sendToPeer = n.peers.send
+	if len(cfg.Duties) > 0 {
+		n.duties = newDuties(cfg.Duties, cfg.Settings.Self, cfg.Settings.Gateways, cfg.Seed, clk, n.peers.send)
+	}
+	return nil
+}
+
+// receiveDatagram passes a datagram of another edge node to the duties or the loop. It is lost if the loop's
+// queue is full, as the network may lose any.
+func (n *Node) receiveDatagram(from int, data []byte) {
+	if n.duties != nil && n.duties.receive(from, data) {
+		return
+	}
+	select {
+	case n.loop.events <- policy.PeerMessage{From: from, Data: data}:
+	default:
 	}
-	return n, nil
 }
 
 // maxServers returns the number of servers that fit the memory plan.
--- a/internal/node/request_memory_test.go
+++ b/internal/node/request_memory_test.go
@@ -36,6 +36,13 @@
 	return c
 }
 
+// setRequestMemory sets the memory for requests of further connections.
+func (n *testNode) setRequestMemory(bytes int64) {
+	n.server.mu.Lock()
+	defer n.server.mu.Unlock()
+	n.server.memory = memory.NewPool(bytes)
+}
+
 // readStatus reads a response and returns its status and headers.
 func readStatus(t *testing.T, c net.Conn) (int, http.Header) {
 	t.Helper()
@@ -51,7 +58,7 @@
 // time the slowest gives way. It is answered at once, as refused and with Retry-After.
 func TestSlowRequestGivesWay(t *testing.T) {
 	n := startNodeWithServers(t, newTestServer(t, respondWith("200 OK", "", "hits")).addr())
-	n.server.memory = memory.NewPool(2 * maxBodyBytes)
+	n.setRequestMemory(2 * maxBodyBytes)
 	var slow []net.Conn
 	for i := range 2 {
 		text := loanOf(fmt.Sprint("slow", i), maxBodyBytes)
@@ -81,7 +88,7 @@
 // request that waits gets memory that is released.
 func TestRequestWithoutMemory(t *testing.T) {
 	n := startNodeWithServers(t, newTestServer(t, respondWith("200 OK", "", "hits")).addr())
-	n.server.memory = memory.NewPool(maxBodyBytes + 1)
+	n.setRequestMemory(maxBodyBytes + 1)
 	if !n.server.memory.TryReserve(2) {
 		t.Fatal("nothing reserved")
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"cmp"
 	"errors"
 	"log/slog"
 	"net"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -110,46 +108,6 @@
 	return s
 }
 
-// divideLimit divides the limit between open connections and those that are being closed. The caller holds
-// the mutex or is the only user.
-func (s *httpServer) divideLimit(limit int) {
-	s.maxClosing = int(lingerShare * float64(limit))
-	s.maxConns = limit - s.maxClosing
-}
-
-// setLimit changes the limit on connections. To meet it, idle connections are closed at once, the longest
-// idle first, and others after their next response.
-func (s *httpServer) setLimit(limit int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.divideLimit(limit)
-	var idle []*clientConn
-	for cc := range s.conns {
-		if !cc.closing && cc.state == connIdle {
-			idle = append(idle, cc)
-		}
-	}
-	slices.SortFunc(idle, func(a, b *clientConn) int { return cmp.Compare(a.stateSince, b.stateSince) })
-	for _, cc := range idle {
-		if len(s.conns)-s.closingConns > s.maxConns {
-			s.beginClose(cc)
-		}
-	}
-	s.overLimit.Store(len(s.conns)-s.closingConns > s.maxConns)
-}
-
-// exceedsLimit reports whether a connection must be closed after its response to meet the limit.
-func (s *httpServer) exceedsLimit() bool {
-	if !s.overLimit.Load() {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	over := len(s.conns)-s.closingConns > s.maxConns
-	s.overLimit.Store(over)
-	return over
-}
-
 // serve accepts connections until the listener is closed. When the listener's deadline expires, serve first
 // accepts the connections that the kernel has queued and then closes the listener itself, since a close would
 // reset queued connections. An accept error ends serve only if the listener is unusable. Any other error may
@@ -194,103 +152,6 @@
 	return slices.ContainsFunc(list, func(e error) bool { return errors.Is(err, e) })
 }
 
-// addConn registers a new connection. At the limit it closes another connection, or the new one if all others
-// are busy.
-func (s *httpServer) addConn(c net.Conn) *clientConn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	full := len(s.conns)-s.closingConns >= s.maxConns && !s.closeLeastUseful()
-	cc := &clientConn{Conn: c, stateSince: s.clock.now(), memory: s.memory, server: s}
-	cc.input.src, cc.input.memory = cc, cc
-	s.conns[cc] = struct{}{}
-	if full {
-		s.beginClose(cc)
-	}
-	return cc
-}
-
-// closeLeastUseful closes one connection that is not busy. It prefers connections without a valid request
-// so far, then the one that has been in its state for the longest time. It returns false if all are busy.
-func (s *httpServer) closeLeastUseful() bool {
-	var candidate *clientConn
-	rank := func(cc *clientConn) int {
-		if cc.carriedRequest {
-			return 1
-		}
-		return 0
-	}
-	for cc := range s.conns {
-		if cc.state == connBusy || cc.closing {
-			continue
-		}
-		if candidate == nil || rank(cc) < rank(candidate) ||
-			rank(cc) == rank(candidate) && cc.stateSince < candidate.stateSince {
-			candidate = cc
-		}
-	}
-	if candidate != nil {
-		s.beginClose(candidate)
-	}
-	return candidate != nil
-}
-
-// closeIdle closes the connections that have been idle for at least the given time, and those that have been
-// sending a request for shutdownReadTimeout.
-func (s *httpServer) closeIdle(minIdle time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock.now()
-	for cc := range s.conns {
-		age := now - cc.stateSince
-		if !cc.closing && (cc.state == connIdle && age >= minIdle ||
-			cc.state == connReading && age >= shutdownReadTimeout) {
-			s.beginClose(cc)
-		}
-	}
-}
-
-// activity returns the number of connections, including those that are being closed, and the time since the
-// last sign of a client's request: a request that was processed, a partial request, or a new connection.
-// Readiness probes don't count, since the load balancer in front continues to send them during a shutdown.
-func (s *httpServer) activity() (open int, quiet time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	last := s.lastRequest
-	for cc := range s.conns {
-		if !cc.closing && (cc.state == connReading ||
-			cc.state == connIdle && !cc.carriedRequest && !cc.carriedProbe) {
-			last = max(last, cc.stateSince)
-		}
-	}
-	return len(s.conns), s.clock.now() - last
-}
-
-// setState sets the state of a connection and its read timeout; 0 leaves the read deadline unchanged. It
-// returns false if nothing may be read because the connection is being closed.
-func (s *httpServer) setState(cc *clientConn, state connState, readTimeout time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cc.closing {
-		return false
-	}
-	cc.state, cc.stateSince = state, s.clock.now()
-	return readTimeout == 0 || cc.SetReadDeadline(time.Now().Add(readTimeout)) == nil
-}
-
-// markBusy sets the state of a connection to busy. It returns false if the connection is being closed. A
-// client repeats a request that crossed the close of its connection, so that request must not be processed
-// here.
-func (s *httpServer) markBusy(cc *clientConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cc.closing {
-		return false
-	}
-	cc.state, cc.carriedRequest, s.lastRequest = connBusy, true, s.clock.now()
-	cc.displaced = false // the whole request had arrived
-	return true
-}
-
 // serveConn serves a connection, one request at a time.
 func (s *httpServer) serveConn(cc *clientConn) {
 	defer s.finishClose(cc)
@@ -349,73 +210,6 @@
 	return err
 }
 
-// rejectUnread answers a request that can't be read. The connection is closed then.
-func (s *httpServer) rejectUnread(cc *clientConn, err error) {
-	if errors.Is(err, memory.ErrFull) || s.wasDisplaced(cc) {
-		s.refuseForMemory(cc)
-		return
-	}
-	if status := errorStatus(err); status != 0 {
-		s.rejectAndClose(cc, status, "", err.Error())
-	}
-}
-
-// errorStatus returns the status of the response to a request that can't be read, or 0 for no response.
-func errorStatus(err error) int {
-	switch {
-	case errors.Is(err, errLongBody):
-		return 413
-	case errors.Is(err, errLongHead):
-		return 431
-	case errors.Is(err, errSyntax), errors.Is(err, errFraming):
-		return 400
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return 408
-	}
-	return 0
-}
-
-// rejectAndClose answers a request that is not processed, after which the connection is closed.
-func (s *httpServer) rejectAndClose(cc *clientConn, status int, fields, reason string) {
-	if s.setState(cc, connReading, 0) { // false: it is being closed already
-		_ = s.writeResponse(cc, status, fields+"Connection: close\r\n", []byte(reason))
-	}
-}
-
-// writeResponse writes a response, with a single write if it is small.
-func (s *httpServer) writeResponse(cc *clientConn, status int, fields string, body []byte) error {
-	return cc.write(appendResponseHead(cc.writeBuf[:0], status, fields, len(body)), body)
-}
-
-// appendResponseHead appends the head of a response. Each of fields ends with CRLF.
-func appendResponseHead(b []byte, status int, fields string, length int) []byte {
-	b = append(b, "HTTP/1.1 "...)
-	b = strconv.AppendInt(b, int64(status), 10)
-	b = append(b, ' ')
-	b = append(b, reasonPhrases[status]...)
-	b = append(b, "\r\n"...)
-	b = append(b, fields...)
-	b = append(b, "Content-Length: "...)
-	b = strconv.AppendInt(b, int64(length), 10)
-	return append(b, "\r\n\r\n"...)
-}
-
-var reasonPhrases = map[int]string{200: "OK", 400: "Bad Request", 408: "Request Timeout", 409: "Conflict",
-	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
-	502: "Bad Gateway", 503: "Service Unavailable"}
-
-// write writes a head, whose memory is reused for the next response, and a body.
-func (cc *clientConn) write(head, body []byte) error {
-	if err := cc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	buf, _, err := writeMessage(cc, head, body)
-	if cc.writeBuf = buf; cap(buf) > smallBufferBytes {
-		cc.writeBuf = nil // frees a large buffer
-	}
-	return err
-}
-
 // handle processes a request that has been read. It returns false if the connection must be closed.
 func (s *httpServer) handle(cc *clientConn) bool {
 	r := &cc.request
@@ -450,57 +244,3 @@
 	}
 	return false
 }
-
-// respondServed writes a server's response. It returns false if the connection must be closed.
-func (s *httpServer) respondServed(cc *clientConn, res *result) bool {
-	defer s.upstream.memory.Release(res.reserved)
-	cc.badRequests = 0
-	fields := ""
-	if len(res.contentType) > 0 {
-		fields = "Content-Type: " + res.contentType + "\r\n"
-	}
-	return s.respondBytes(cc, 200, fields, res.body)
-}
-
-// respond writes the response to a request. It returns false if the connection must be closed.
-func (s *httpServer) respond(cc *clientConn, status int, fields, body string) bool {
-	return s.respondBytes(cc, status, fields, []byte(body))
-}
-
-func (s *httpServer) respondBytes(cc *clientConn, status int, fields string, body []byte) bool {
-	cc.readAhead.endWait()
-	closeAfter := s.draining.Load() || cc.request.wantsClose() || s.exceedsLimit()
-	if closeAfter {
-		fields += "Connection: close\r\n"
-	}
-	return s.writeResponse(cc, status, fields, body) == nil && !closeAfter
-}
-
-// rejectInvalid answers an invalid request at once and delays the next one. After maxBadRequests invalid
-// requests in a row the connection is closed. It returns false if the connection must be closed.
-func (s *httpServer) rejectInvalid(cc *clientConn, status int, reason string) bool {
-	if cc.badRequests++; cc.badRequests < maxBadRequests {
-		keepOpen := s.respond(cc, status, "", reason)
-		time.Sleep(badRequestDelay)
-		return keepOpen
-	}
-	s.rejectAndClose(cc, status, "", reason)
-	return false
-}
-
-// respondUnserved writes the response to a request that was not served successfully.
-func (s *httpServer) respondUnserved(cc *clientConn, cmd command) bool {
-	switch {
-	case cmd.badStatus != 0:
-		return s.rejectInvalid(cc, cmd.badStatus, "this request can't be used")
-	case !cmd.refuse:
-		cc.badRequests = 0
-		return s.respond(cc, 502, "", "failed")
-	}
-	cc.badRequests = 0
-	fields := ""
-	if cmd.retryAfter > 0 {
-		fields = "Retry-After: " + strconv.FormatFloat(cmd.retryAfter.Seconds(), 'f', -1, 64) + "\r\n"
-	}
-	return s.respond(cc, 429, fields, "refused")
-}
