--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -206,6 +206,7 @@
 	Duties      []duty      `json:"duties,omitempty"`
 	Loop        loopLag     `json:"loop"`
 	Disconnects disconnects `json:"clients_left"`
+	Requests    requests    `json:"requests"`
 	Unsolicited unsolicited `json:"unsolicited_bytes"`
 	Memory      messages    `json:"message_memory"`
 }
@@ -243,6 +244,21 @@
 	Undetectable int64 `json:"sent_on_unseen"`
 }
 
+// requests counts the requests since the start by how they ended, and the further attempts.
+type requests struct {
+	Served     int64 `json:"served"`
+	Refused    int64 `json:"refused"`
+	Failed     int64 `json:"failed"`
+	Invalid    int64 `json:"invalid"`
+	IDInUse    int64 `json:"id_in_use"`
+	Unreadable int64 `json:"unreadable"`
+	NoMemory   int64 `json:"no_memory"`
+	Incomplete int64 `json:"incomplete"`
+	Crossed    int64 `json:"crossed_close"`
+	Abandoned  int64 `json:"abandoned"`
+	Retried    int64 `json:"retried"`
+}
+
 // loopLag is the delay of the event loop in milliseconds. It grows while the loop is
 // blocked.
 type loopLag struct {
@@ -299,6 +315,7 @@
 		Generation:  generation{s.Current.Number, s.Current.Digest, s.Current.Time},
 		Loop:        loopLag{milliseconds(s.Lag), milliseconds(s.MaxLag), s.Heartbeats},
 		Disconnects: disconnects(s.Disconnects),
+		Requests:    requests(s.Ends),
 		Unsolicited: unsolicited(s.Unsolicited),
 		Memory:      messages{pool(s.Requests), pool(s.Responses)}}
 	if s.Previous != nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -52,6 +52,8 @@
 	backstop     *timer
 	attemptCount int
 	mayHaveRunAt time.Duration // start of the first attempt that the server may have run; 0: none
+	lastOutcome  string        // of the last attempt that has ended, for the log
+	abandoned    bool          // its client has disconnected
 	inFlight     *attempt      // nil: none
 	finalCommand *command      // sent once the attempt in flight has ended; nil: not decided
 }
@@ -109,6 +111,7 @@
 	byRequestID    map[string]*call // by X-Request-Id
 	heartbeat      heartbeat
 	disconnects    disconnectCounts
+	requests       *requestLog // nil in tests of the loop alone
 	timers         timerHeap
 	timer          *time.Timer
 	timerAt        time.Duration // time that the timer is set to; 0: not set
@@ -237,10 +240,12 @@
 // addCall registers a new request, unless it is invalid or its id belongs to an open request.
 func (l *loop) addCall(c *call) {
 	if c.generation != l.generation && l.reparse(c) != nil {
+		l.record(requestInvalid, c)
 		c.commands <- command{badStatus: statusBadRequest}
 		return
 	}
 	if l.byRequestID[c.requestID] != nil {
+		l.record(requestIDInUse, c)
 		c.commands <- command{badStatus: statusConflict} // the open request with this id continues
 		return
 	}
@@ -259,7 +264,7 @@
 func (l *loop) endAttempt(o outcome) {
 	c, ev := o.call, policy.Outcome{ID: o.attempt.id, Attempt: o.attempt.num, Server: o.attempt.server,
 		Code: o.code, Latency: l.clock.now() - o.attempt.startedAt, Load: o.load}
-	c.inFlight = nil
+	c.inFlight, c.lastOutcome = nil, outcomeNames[o.code]
 	switch {
 	case o.attempt.num > 0:
 	case o.attempt.clientDisconnected:
@@ -272,6 +277,7 @@
 	}
 	switch {
 	case o.code == policy.OK:
+		l.recordEnd(requestServed, c)
 		l.removeCall(c)
 	case o.badRequest && c.finalCommand == nil:
 		l.respond(c, command{badStatus: statusBadRequest})
@@ -299,6 +305,8 @@
 		if c.client == nil || !c.client.disconnected() {
 			continue
 		}
+		l.recordEnd(requestAbandoned, c)
+		c.abandoned = true
 		if c.inFlight == nil {
 			if c.attemptCount == 0 {
 				l.disconnects.held.Add(1)
@@ -333,10 +341,36 @@
 }
 
 func (l *loop) respond(c *call, cmd command) {
+	switch {
+	case cmd.badStatus != 0:
+		l.recordEnd(requestInvalid, c)
+	case cmd.refuse:
+		l.recordEnd(requestRefused, c)
+	default:
+		l.recordEnd(requestFailed, c)
+	}
 	l.removeCall(c)
 	c.commands <- cmd
 }
 
+// recordEnd records how a request ended, unless its client has disconnected, which is recorded once.
+func (l *loop) recordEnd(event requestEvent, c *call) {
+	if !c.abandoned {
+		l.record(event, c)
+	}
+}
+
+// record records an event of a request that the loop has received.
+func (l *loop) record(event requestEvent, c *call) {
+	l.requests.record(event, requestDetails{id: c.requestID, client: c.client, class: c.Class,
+		attempts: c.attemptCount, age: l.clock.now() - c.arrivedAt, reason: c.lastOutcome})
+}
+
+// outcomeNames are the names of policy.Code in the log.
+var outcomeNames = map[policy.Code]string{policy.OK: "ok", policy.Error: "error", policy.Full: "full",
+	policy.TimedOut: "timed out", policy.ConnectFailed: "connect failed", policy.Reset: "reset",
+	policy.Cancelled: "cancelled", policy.NotSent: "not sent"}
+
 // removeCall removes a request from the loop once its answer is decided.
 func (l *loop) removeCall(c *call) {
 	delete(l.calls, c.ID)
@@ -457,6 +491,9 @@
 	if c.mayHaveRunAt > 0 && c.class.Effect == policy.Keyed {
 		a.writeDeadline = min(a.writeDeadline, c.mayHaveRunAt+c.class.Window-responseMargin) // network delay
 	}
+	if a.num > 0 {
+		l.record(requestRetried, c)
+	}
 	c.inFlight = a
 	c.commands <- command{attempt: a}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,8 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.server = newHTTPServer(clk, h.Current(), up, n.loop.events, clients,
 		memory.NewPool(plan.RequestBytes))
+	requests := &requestLog{clock: clk}
+	n.loop.requests, n.server.requests = requests, requests
 	n.publish()
 	n.loop.generation, n.loop.onApply, n.loop.reparse = h.Current(), n.onApply, n.server.parseHeaders
 	n.loop.pollsDiscovery, n.loop.onServerList = cfg.Settings.MustWatch, n.readiness()
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -37,6 +37,7 @@
 	MaxLag           time.Duration // the largest lag of the last 30 to 60 s
 	Heartbeats       int64         // heartbeats of the loop since the start; constant while it is blocked
 	Disconnects      Disconnects
+	Ends             RequestCounts
 
 	Unsolicited Unsolicited
 	Requests    memory.Usage // memory for requests
@@ -60,6 +61,7 @@
 	disconnects := &n.loop.disconnects
 	s.Disconnects = Disconnects{disconnects.held.Load(), disconnects.dialing.Load(),
 		disconnects.writing.Load(), disconnects.hidden.Load()}
+	s.Ends = n.loop.requests.load()
 	s.Unsolicited = n.upstream.unsolicited.load()
 	s.Requests, s.Responses = n.server.memory.Usage(), n.upstream.memory.Usage()
 	if n.duties != nil {
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -11,13 +11,19 @@
 
 // rejectUnread answers a request that can't be read. The connection is closed then.
 func (s *httpServer) rejectUnread(cc *clientConn, err error) {
+	details := requestDetails{client: cc, reason: err.Error()}
 	if errors.Is(err, memory.ErrFull) || s.wasDisplaced(cc) {
+		s.requests.record(requestNoMemory, details)
 		s.refuseForMemory(cc)
 		return
 	}
-	if status := errorStatus(err); status != 0 {
-		s.rejectAndClose(cc, status, "", err.Error())
+	status := errorStatus(err)
+	if status == 0 {
+		s.requests.record(requestIncomplete, details)
+		return
 	}
+	s.requests.record(requestUnreadable, details)
+	s.rejectAndClose(cc, status, "", err.Error())
 }
 
 // errorStatus returns the status of the response to a request that can't be read, or 0 for no response.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -41,6 +41,7 @@
 	upstream   *upstream
 	memory     *memory.Pool // for requests; nil: no limit
 	events     chan<- any
+	requests   *requestLog // nil in tests of the server alone
 	ready      atomic.Bool
 	draining   atomic.Bool
 	overLimit  atomic.Bool // set when more connections than the limit are open
@@ -223,13 +224,15 @@
 		return s.respond(cc, 200, "", "")
 	}
 	c, err := s.parse(r)
+	c.client = cc
 	if err != nil {
+		s.requests.record(requestInvalid, requestDetails{id: c.requestID, client: cc, reason: err.Error()})
 		return s.rejectInvalid(cc, 400, err.Error())
 	}
 	if !s.markBusy(cc) {
+		s.requests.record(requestCrossed, requestDetails{id: c.requestID, client: cc, class: c.Class})
 		return false
 	}
-	c.client = cc
 	cc.readAhead.beginWait()
 	s.events <- c
 	for cmd := range c.commands {
