--- a/cmd/valvering/request_id_test.go
+++ b/cmd/valvering/request_id_test.go
@@ -17,6 +17,7 @@
 const (
 	unsoundAnswerTimeout = 3 * time.Second        // an unsound request is answered or its connection closed
 	clientStay           = 400 * time.Millisecond // until the client of the first request leaves
+	impostorStay         = 2 * time.Second        // longer than the first request would have taken
 	impostorPause        = 20 * time.Millisecond  // between two requests of an impostor
 )
 
@@ -96,17 +97,18 @@
 			testkit.Eventually(t, "the request at a server", func() bool {
 				return s.servers[0].swallowed.Load()+s.servers[1].swallowed.Load() == 1
 			})
-			s.swallowRequests(false)
-			leaves := time.Now().Add(clientStay)
-			for time.Now().Before(leaves.Add(clientStay)) {
-				if time.Now().After(leaves) {
-					first.Close()
-				}
-				if status := s.dialClient().exchange(t, soundRequest(class, id)); status == http.StatusOK {
-					t.Fatalf("the id of an open request was served %v after its client left", time.Since(leaves))
+			sendAgain := func(what string, until time.Time) {
+				for time.Now().Before(until) {
+					if status := s.dialClient().exchange(t, soundRequest(class, id)); status == http.StatusOK {
+						t.Fatalf("the id was served again %s, %v before the end", what, time.Until(until))
+					}
+					time.Sleep(impostorPause)
 				}
-				time.Sleep(impostorPause)
 			}
+			sendAgain("beside its client", time.Now().Add(clientStay))
+			first.Close()
+			s.swallowRequests(false)
+			sendAgain("after its client left", time.Now().Add(impostorStay))
 			if got := s.attemptsOf(id); got != 0 {
 				t.Errorf("the request was sent on %d times more", got)
 			}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -254,7 +254,9 @@
 	return startNode(t, testConfig(t, newDiscoveryServer(t, list...).addr))
 }
 
-// newRequest returns a client's request. For the keyed class it is a POST.
+var lastRequestID atomic.Int64
+
+// newRequest returns a client's request, with a new id. For the keyed class it is a POST.
 func newRequest(url, class string, deadline time.Duration) *http.Request {
 	method, body := http.MethodGet, ""
 	if class == "loan" {
@@ -264,7 +266,7 @@
 	if err != nil {
 		panic(err)
 	}
-	r.Header.Set("X-Request-Id", "9b1f03aa5c7e2d41")
+	r.Header.Set("X-Request-Id", fmt.Sprintf("%016x", lastRequestID.Add(1)))
 	r.Header.Set("X-Class", class)
 	r.Header.Set("X-Tier", "town")
 	r.Header.Set("Cookie", "key=00000000b4d65521")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -108,7 +108,7 @@
 	events         chan any
 	nextID         policy.RequestID
 	calls          map[policy.RequestID]*call
-	byRequestID    map[string]*call // by X-Request-Id
+	requestIDs     *requestIDs
 	heartbeat      heartbeat
 	disconnects    disconnectCounts
 	requests       *requestLog // nil in tests of the loop alone
@@ -121,7 +121,7 @@
 
 func newLoop(c clock, g *policy.Gateway, up *upstream) *loop {
 	return &loop{clock: c, gateway: g, upstream: up, events: make(chan any, eventQueueSize),
-		done: make(chan struct{}), calls: map[policy.RequestID]*call{}, byRequestID: map[string]*call{},
+		done: make(chan struct{}), calls: map[policy.RequestID]*call{}, requestIDs: newRequestIDs(),
 		timer: time.NewTimer(time.Hour)}
 }
 
@@ -237,23 +237,23 @@
 	}
 }
 
-// addCall registers a new request, unless it is invalid or its id belongs to an open request.
+// addCall registers a new request, unless it is invalid or its id belongs to another request.
 func (l *loop) addCall(c *call) {
 	if c.generation != l.generation && l.reparse(c) != nil {
 		l.record(requestInvalid, c)
 		c.commands <- command{badStatus: statusBadRequest}
 		return
 	}
-	if l.byRequestID[c.requestID] != nil {
+	if !l.requestIDs.claim(c.requestID, l.clock.now()) {
 		l.record(requestIDInUse, c)
-		c.commands <- command{badStatus: statusConflict} // the open request with this id continues
+		c.commands <- command{badStatus: statusConflict} // an open request with this id continues
 		return
 	}
 	l.nextID++
 	c.ID = l.nextID
 	c.deadline = c.arrivedAt + max(0, c.timeout-responseMargin)
 	c.Remaining = max(0, c.deadline-l.clock.now())
-	l.calls[c.ID], l.byRequestID[c.requestID] = c, c
+	l.calls[c.ID] = c
 	c.backstop = &timer{at: c.deadline + backstopDelay, call: c}
 	heap.Push(&l.timers, c.backstop)
 	l.dispatch(c.Request)
@@ -279,6 +279,7 @@
 	case o.code == policy.OK:
 		l.recordEnd(requestServed, c)
 		l.removeCall(c)
+		l.requestIDs.retire(c.requestID, l.clock.now())
 	case o.badRequest && c.finalCommand == nil:
 		l.respond(c, command{badStatus: statusBadRequest})
 	case c.finalCommand != nil:
@@ -350,6 +351,11 @@
 		l.recordEnd(requestFailed, c)
 	}
 	l.removeCall(c)
+	if cmd.refuse {
+		l.requestIDs.release(c.requestID)
+	} else {
+		l.requestIDs.retire(c.requestID, l.clock.now())
+	}
 	c.commands <- cmd
 }
 
@@ -371,12 +377,10 @@
 	policy.TimedOut: "timed out", policy.ConnectFailed: "connect failed", policy.Reset: "reset",
 	policy.Cancelled: "cancelled", policy.NotSent: "not sent"}
 
-// removeCall removes a request from the loop once its answer is decided.
+// removeCall removes a request from the loop once its answer is decided or its client has disconnected. Its id
+// stays claimed while it has an attempt in flight.
 func (l *loop) removeCall(c *call) {
 	delete(l.calls, c.ID)
-	if l.byRequestID[c.requestID] == c {
-		delete(l.byRequestID, c.requestID)
-	}
 	if c.backstop != nil && c.backstop.index >= 0 {
 		heap.Remove(&l.timers, c.backstop.index)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -27,11 +27,14 @@
 		return respondWith("200 OK", "", "placed\x00")(c, r, body)
 	})
 	n := startNodeWithServers(t, a.addr())
+	ids := map[string]string{"lookup": "9b1f03aa5c7e2d41", "loan": "0c4e77b1925d3a68"}
 	for class, want := range map[string]string{
 		"lookup": "GET/lookup?q=19b1f03aa5c7e2d41",
-		"loan":   "POST/loan?q=1order=179b1f03aa5c7e2d415c0f6e1a2b3d4c59a8b7c6d5e4f30211",
+		"loan":   "POST/loan?q=1order=170c4e77b1925d3a685c0f6e1a2b3d4c59a8b7c6d5e4f30211",
 	} {
-		resp, body := doRequest(t, newRequest(n.url, class, clientTimeout))
+		r := newRequest(n.url, class, clientTimeout)
+		r.Header.Set("X-Request-Id", ids[class])
+		resp, body := doRequest(t, r)
 		if resp.StatusCode != 200 || body != "placed\x00" || got.Load() != want {
 			t.Errorf("%s: %d %q, forwarded %q, want %q", class, resp.StatusCode, body, got.Load(), want)
 		}
@@ -340,8 +343,8 @@
 	silent.Close()
 }
 
-// A request with the id of an open request is refused, and the open one continues. Otherwise one request
-// could have two attempts in flight.
+// A request with the id of an open request is rejected, and the open one continues. Otherwise one request
+// could have two attempts in flight. After the response the id is not accepted again either.
 func TestDuplicateRequestID(t *testing.T) {
 	release := make(chan struct{})
 	a := newTestServer(t, func(c net.Conn, r *http.Request, b string) bool {
@@ -349,19 +352,44 @@
 		return respondWith("200 OK", "", "hits")(c, r, b)
 	})
 	n := startNodeWithServers(t, a.addr())
-	first := writeRequest(t, dial(t, n), newRequest(n.url, "loan", clientTimeout))
+	request := newRequest(n.url, "loan", clientTimeout)
+	again := func() *http.Request {
+		r := newRequest(n.url, "loan", clientTimeout)
+		r.Header = request.Header
+		return r
+	}
+	first := writeRequest(t, dial(t, n), request)
 	testkit.Eventually(t, "the first request at the server", func() bool { return a.requests.Load() == 1 })
-	if resp := writeRequest(t, dial(t, n), newRequest(n.url, "loan",
-		clientTimeout))(); resp.StatusCode != http.StatusConflict {
+	if resp := writeRequest(t, dial(t, n), again())(); resp.StatusCode != http.StatusConflict {
 		t.Errorf("second request: %d", resp.StatusCode)
 	}
 	close(release)
 	if resp := first(); resp.StatusCode != 200 || a.requests.Load() != 1 {
 		t.Errorf("first request: %d, %d attempts", resp.StatusCode, a.requests.Load())
 	}
+	if resp := writeRequest(t, dial(t, n), again())(); resp.StatusCode != http.StatusConflict ||
+		a.requests.Load() != 1 {
+		t.Errorf("after the response: %d, %d attempts", resp.StatusCode, a.requests.Load())
+	}
 	if resp := writeRequest(t, dial(t, n), newRequest(n.url, "loan",
 		clientTimeout))(); resp.StatusCode != 200 {
-		t.Errorf("after the id is free again: %d", resp.StatusCode)
+		t.Errorf("another id: %d", resp.StatusCode)
+	}
+}
+
+// A request that was refused has not run, so its client may send it again under the same id.
+func TestRefusedRequestIDIsAcceptedAgain(t *testing.T) {
+	l := newLoop(clock{time.Now()}, nil, nil)
+	c := &call{requestID: "a1", class: &policy.Class{}, commands: make(chan command, 1)}
+	for _, cmd := range []command{{refuse: true}, {}} {
+		if !l.requestIDs.claim(c.requestID, l.clock.now()) {
+			t.Fatalf("before %+v the id is not accepted", cmd)
+		}
+		l.respond(c, cmd)
+		<-c.commands
+	}
+	if l.requestIDs.claim(c.requestID, l.clock.now()) {
+		t.Error("accepted again after a response that is no refusal")
 	}
 }
 
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -267,8 +267,8 @@
 	stop()
 	events.Wait()
 	<-n.loop.done
-	if len(n.loop.calls)+len(n.loop.byRequestID) != 0 {
-		t.Errorf("%d requests left open", len(n.loop.calls))
+	if len(n.loop.calls)+len(n.loop.requestIDs.claimed) != 0 {
+		t.Errorf("%d requests left open, %d ids", len(n.loop.calls), len(n.loop.requestIDs.claimed))
 	}
 	n.upstream.update(&serverList{}, true) // closes idle connections
 	if n.upstream.open != 0 {
