Begin no attempt for a client whose disconnect can't be seen behind what it pipelined

Cause: the end of a connection comes behind all bytes before it. 16 KiB were read ahead; where the kernel's receive buffer was full too, the end had not come, and the attempt was written and only counted (sent_on_unseen). Where bytes are unread even then, and the TCP state shows no end, the request is refused, or failed if it may have run and is not safe. In /status refused_unseen replaces sent_on_unseen.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -235,13 +235,13 @@
 }
 
 // disconnects counts requests whose client disconnected before their first attempt, by where
-// that was detected. They were not sent to a server, except for Undetectable: requests
-// that were sent although the client may have disconnected.
+// that was detected, and in Undetectable those that were refused because the client may have
+// disconnected. None was sent to a server.
 type disconnects struct {
 	Waiting      int64 `json:"held"`
 	Dialing      int64 `json:"dialing"`
 	Writing      int64 `json:"before_write"`
-	Undetectable int64 `json:"sent_on_unseen"`
+	Undetectable int64 `json:"refused_unseen"`
 }
 
 // requests counts the requests since the start by how they ended, and the further attempts.
--- a/internal/node/attempt.go
+++ b/internal/node/attempt.go
@@ -29,7 +29,7 @@
 	withdrawn          bool // cancelled before the write of the request, which is never written
 	writeBegun         bool // the request may have been written
 	clientDisconnected bool // the client had disconnected by the time of the write
-	disconnectHidden   bool // a disconnect could not be detected at the time of the write
+	disconnectHidden   bool // not written, since a disconnect could not be detected
 	conn               *upstreamConn
 	cancelWait         context.CancelFunc // of a dial, or of a wait for memory
 }
@@ -79,17 +79,18 @@
 }
 
 // beginWrite assigns the attempt a connection and marks its request as possibly written. It returns
-// false if the attempt was cancelled or its client has disconnected. withdraw checks the same
+// false if the attempt was cancelled, or its client has or may have disconnected. withdraw checks the same
 // mark under the same lock, so an attempt is never both withdrawn and written.
 func (a *attempt) beginWrite(c *upstreamConn) bool {
 	disconnected := a.client != nil && a.client.disconnected()
+	hidden := a.client != nil && !disconnected && a.client.disconnectHidden()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = c
 	a.clientDisconnected = disconnected && !a.cancelled
-	a.withdrawn = a.withdrawn || a.clientDisconnected
-	a.writeBegun = !a.cancelled && !disconnected
-	a.disconnectHidden = a.writeBegun && a.client != nil && a.client.disconnectHidden()
+	a.disconnectHidden = hidden && !a.cancelled
+	a.withdrawn = a.withdrawn || a.clientDisconnected || a.disconnectHidden
+	a.writeBegun = !a.cancelled && !disconnected && !hidden
 	return a.writeBegun
 }
 
--- a/internal/node/client_conns.go
+++ b/internal/node/client_conns.go
@@ -55,6 +55,7 @@
 	full := len(s.conns)-s.closingConns >= s.maxConns && !s.closeLeastUseful()
 	cc := &clientConn{Conn: c, stateSince: s.clock.now(), memory: s.memory, server: s}
 	cc.input.src, cc.input.memory = cc, cc
+	cc.readAhead.memory = s.readAhead
 	s.conns[cc] = struct{}{}
 	if full {
 		s.beginClose(cc)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -224,15 +224,21 @@
 	close(ev.done)
 }
 
-// refuseAllWaiting refuses all requests without an attempt in flight. A request that may have run and is
-// not safe to repeat is failed instead, since a refusal invites the client to retry.
+// rejection returns the final answer to a request that gets no further attempt. A request that may have run and
+// is not safe to repeat is failed, since a refusal invites the client to retry.
+func (c *call) rejection() command {
+	return command{refuse: c.mayHaveRunAt == 0 || c.class.Effect == policy.Safe}
+}
+
+// refuseAllWaiting rejects all requests without an attempt in flight.
 func (l *loop) refuseAllWaiting() {
 	for id, c := range l.calls {
 		if c.inFlight != nil {
 			continue
 		}
-		l.finish(c, command{refuse: c.mayHaveRunAt == 0 || c.class.Effect == policy.Safe,
-			retryAfter: refusalRetryAfter})
+		cmd := c.rejection()
+		cmd.retryAfter = refusalRetryAfter
+		l.finish(c, cmd)
 		l.dispatch(policy.ClientDisconnected{ID: id})
 	}
 }
@@ -265,12 +271,8 @@
 	c, ev := o.call, policy.Outcome{ID: o.attempt.id, Attempt: o.attempt.num, Server: o.attempt.server,
 		Code: o.code, Latency: l.clock.now() - o.attempt.startedAt, Load: o.load}
 	c.inFlight, c.lastOutcome = nil, outcomeNames[o.code]
-	switch {
-	case o.attempt.num > 0:
-	case o.attempt.clientDisconnected:
+	if o.attempt.clientDisconnected && o.attempt.num == 0 {
 		l.disconnects.writing.Add(1)
-	case o.attempt.disconnectHidden:
-		l.disconnects.hidden.Add(1)
 	}
 	if c.mayHaveRunAt == 0 && !o.code.NeverRan() {
 		c.mayHaveRunAt = o.attempt.startedAt
@@ -284,6 +286,10 @@
 		l.respond(c, command{badStatus: statusBadRequest})
 	case c.finalCommand != nil:
 		l.respond(c, *c.finalCommand)
+	case o.attempt.disconnectHidden:
+		l.disconnects.hidden.Add(1)
+		c.lastOutcome = "too much pipelined to see whether the client is there"
+		l.respond(c, c.rejection())
 	}
 	ev.Answered = l.calls[c.ID] == nil
 	l.dispatch(ev)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -46,9 +46,9 @@
 
 // Disconnects counts the requests whose client disconnected before their first attempt was written,
 // by where the disconnect was detected: while the request was held, while its connection to a server
-// was being dialed, or right before the write. None of them was sent to a server. Undetectable counts
-// requests that were sent although a disconnect could not be detected, since the client had pipelined
-// too much data.
+// was being dialed, or right before the write. Undetectable counts requests that were refused because a
+// disconnect could not be detected, since the client had pipelined too much data. None of them was sent to a
+// server.
 type Disconnects struct{ Waiting, Dialing, Writing, Undetectable int64 }
 
 // Status returns the current state. It may be called at any time and doesn't wait for the loop.
--- a/internal/node/request_memory.go
+++ b/internal/node/request_memory.go
@@ -107,5 +107,5 @@
 	cc.writeBuf = nil
 	cc.readAhead.mu.Lock()
 	defer cc.readAhead.mu.Unlock()
-	cc.readAhead.free(cc.memory)
+	cc.readAhead.free()
 }
--- a/internal/node/request_memory_test.go
+++ b/internal/node/request_memory_test.go
@@ -41,6 +41,7 @@
 	n.server.mu.Lock()
 	defer n.server.mu.Unlock()
 	n.server.memory = memory.NewPool(bytes)
+	n.server.readAhead = newReadAheadMemory(n.server.memory)
 }
 
 // readStatus reads a response and returns its status and headers.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -40,6 +40,7 @@
 	generation atomic.Pointer[config.Generation] // in force
 	upstream   *upstream
 	memory     *memory.Pool // for requests; nil: no limit
+	readAhead  readAheadMemory
 	events     chan<- any
 	requests   *requestLog // nil in tests of the server alone
 	ready      atomic.Bool
@@ -103,7 +104,7 @@
 func newHTTPServer(c clock, generation *config.Generation, up *upstream, events chan<- any,
 	limit int, requests *memory.Pool) *httpServer {
 	s := &httpServer{clock: c, upstream: up, events: events, memory: requests,
-		conns: map[*clientConn]struct{}{}}
+		readAhead: newReadAheadMemory(requests), conns: map[*clientConn]struct{}{}}
 	s.divideLimit(limit)
 	s.generation.Store(generation)
 	return s
