Let a client that sends at full speed give way to other clients

Cause: the program runs on one core. A connection whose next request is already in the buffer or the socket never waits; the runtime then looks for bytes of other connections only every 10 ms, and a request needs several looks. Fix: a connection that has not waited for the network for 0.25 ms pauses for 1 ms. BenchmarkRequest used ids again, which are now rejected; it gets new ones.

--- a/cmd/valvering/measure_test.go
+++ b/cmd/valvering/measure_test.go
@@ -39,6 +39,7 @@
 	server        *httptest.Server
 	discovery     *httptest.Server
 	discoveryMode string // at once, slow, refuses or silent
+	lastID        int    // number in the last request id
 }
 
 const (
@@ -164,6 +165,12 @@
 	return time.Duration(user+system) * 10 * time.Millisecond
 }
 
+// newID returns a request id that was not used before.
+func (m *benchSetup) newID() string {
+	m.lastID++
+	return fmt.Sprintf("r-%d", m.lastID)
+}
+
 // sendRequests sends n requests of changing customers at a fixed interval and returns the
 // process's processor time for them.
 func (m *benchSetup) sendRequests(cmd *exec.Cmd, n int, interval time.Duration) time.Duration {
@@ -175,7 +182,7 @@
 	br := bufio.NewReader(c)
 	before, next := cpuTime(m.b, cmd.Process.Pid), time.Now()
 	for i := range n {
-		if code, err := m.exchange(c, br, fmt.Sprintf("r-%d", i), i%benchCustomers+1); err != nil ||
+		if code, err := m.exchange(c, br, m.newID(), i%benchCustomers+1); err != nil ||
 			code != 200 {
 			m.b.Fatalf("request %d: status %d, %v", i, code, err)
 		}
--- a/internal/node/client_conns.go
+++ b/internal/node/client_conns.go
@@ -56,6 +56,7 @@
 	cc := &clientConn{Conn: c, stateSince: s.clock.now(), memory: s.memory, server: s}
 	cc.input.src, cc.input.memory = cc, cc
 	cc.readAhead.memory = s.readAhead
+	cc.pacer.waited()
 	s.conns[cc] = struct{}{}
 	if full {
 		s.beginClose(cc)
--- /dev/null
+++ b/internal/node/pacer.go
@@ -0,0 +1,44 @@
+package node
+
+import "time"
+
+const (
+	// maxBusyTime is the time for which a client connection may be served without waiting for the network.
+	maxBusyTime = 250 * time.Microsecond
+
+	// paceDelay is the pause after it. The scheduler polls the network at the latest when nothing can run.
+	paceDelay = time.Millisecond
+
+	// waitedTime is the minimum duration of a read that waited for the client.
+	waitedTime = 100 * time.Microsecond
+)
+
+// pacer makes the connection of a client that sends at full speed give way to others. The program runs on one
+// core. A goroutine that finds its next request already received never waits, and the runtime looks for bytes of
+// other connections only every 10 ms while any goroutine can run.
+type pacer struct {
+	busySince time.Time // when the connection last waited for the network
+}
+
+// waited records that the connection has just waited for the network.
+func (p *pacer) waited() { p.busySince = time.Now() }
+
+// giveWay pauses if the connection has not waited for maxBusyTime.
+func (p *pacer) giveWay() {
+	if time.Since(p.busySince) < maxBusyTime {
+		return
+	}
+	time.Sleep(paceDelay)
+	p.waited()
+}
+
+// read calls f, which reads from the network, and records whether it waited.
+func (p *pacer) read(f func([]byte) (int, error), b []byte) (int, error) {
+	p.giveWay()
+	began := time.Now()
+	n, err := f(b)
+	if time.Since(began) >= waitedTime {
+		p.waited()
+	}
+	return n, err
+}
--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -166,7 +166,7 @@
 	if end != nil {
 		return 0, end
 	}
-	return cc.Conn.Read(b)
+	return cc.pacer.read(cc.Conn.Read, b)
 }
 
 // disconnectHidden reports whether a disconnect may have gone undetected by the last call of disconnected,
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -60,6 +60,7 @@
 	net.Conn
 	input       stream
 	readAhead   readAhead
+	pacer       pacer
 	request     clientRequest
 	writeBuf    []byte
 	badRequests int          // invalid requests since the last valid one
@@ -161,6 +162,7 @@
 	for idleTimeout := firstRequestTimeout; ; idleTimeout, readTimeout = clientIdleTimeout, requestTimeout {
 		cc.input.discardRead()
 		cc.request.reset()
+		cc.pacer.giveWay()
 		if !s.awaitRequest(cc, idleTimeout) {
 			return // idle timeout, disconnected, or being closed
 		}
@@ -241,6 +243,7 @@
 			return s.respondUnserved(cc, cmd)
 		}
 		res := s.upstream.do(cmd.attempt, r)
+		cc.pacer.waited()
 		s.events <- outcome{c, cmd.attempt, res.withoutResponse()}
 		if res.code == policy.OK {
 			return s.respondServed(cc, &res)
