Send nothing to a server whose address a new server has taken over

Requests chosen for the old one reach the new one: in another zone or cell, which doesn't know the keys of the old one, so that a repeat runs twice; and a cold server gets requests meant for a warm one. Cause: the process at the other end was told apart by the server's own line alone (address and boot_ms), and two lines with one address were both used. Fix: Directory.FindCurrent passes over a server if another listed one came up at its address later, by boot_ms, as a newly listed line. The lines of valverlab scale shared four addresses; now one for each zone, whose servers return at one time.

--- a/internal/lab/scale/discovery_test.go
+++ b/internal/lab/scale/discovery_test.go
@@ -72,7 +72,7 @@
 	if l := get(""); len(l.servers) != c.Servers-2 {
 		t.Errorf("whole list without removed servers: %d lines", len(l.servers))
 	}
-	if rev = d.change([]int{3}, markRestarted); rev != 3 {
+	if rev = d.change([]int{3}, markRestarted(time.Now())); rev != 3 {
 		t.Errorf("version %d, want 3", rev)
 	}
 	if l := get("?since=1&timeout_ms=0"); len(l.servers) != 2 ||
--- a/internal/lab/scale/fleet.go
+++ b/internal/lab/scale/fleet.go
@@ -270,7 +270,7 @@
 	before := f.readCPU()
 	for i := range lineChangeCount {
 		line := i * len(f.list.lines) / lineChangeCount
-		f.measured.lineRevs = append(f.measured.lineRevs, f.discovery.change([]int{line}, markRestarted))
+		f.measured.lineRevs = append(f.measured.lineRevs, f.discovery.change([]int{line}, markRestarted(time.Now())))
 		if !sleep(ctx, lineChangeInterval) {
 			break
 		}
@@ -280,9 +280,9 @@
 	return nil
 }
 
-// markRestarted changes the line of a server that has just started.
-func markRestarted(t *roster.Target) {
-	t.State, t.BootMS = stateServing, float64(time.Now().UnixMilli())
+// markRestarted returns a function that changes the lines of servers that have started at the given time.
+func markRestarted(at time.Time) func(t *roster.Target) {
+	return func(t *roster.Target) { t.State, t.BootMS = stateServing, float64(at.UnixMilli()) }
 }
 
 func markRemoved(t *roster.Target) { t.State = roster.Removed }
@@ -359,7 +359,7 @@
 	f.measured.zoneCounts = f.runUnderLoad(ctx, func(ctx context.Context) {
 		sleep(ctx, settleTime)
 		f.measured.zoneRemoved = f.applyZoneChange(ctx, lines, markRemoved, capable)
-		f.measured.zoneRestored = f.applyZoneChange(ctx, lines, markRestarted, capable)
+		f.measured.zoneRestored = f.applyZoneChange(ctx, lines, markRestarted(time.Now()), capable)
 	})
 	return nil
 }
--- a/internal/lab/scale/lending.go
+++ b/internal/lab/scale/lending.go
@@ -13,8 +13,9 @@
 	"valvering.example/valvering/internal/lab/world"
 )
 
-// endpointCount is the number of addresses that all lines of the list share.
-const endpointCount = 4
+// endpointCount is the number of addresses that all lines of the list share, one for each zone: a server that comes
+// up at the address of another replaces it.
+const endpointCount = zones
 
 // latencyModel draws the service time of a request from a log-normal distribution of its class.
 type latencyModel struct{ world *world.World }
--- a/internal/lab/scale/list.go
+++ b/internal/lab/scale/list.go
@@ -34,7 +34,7 @@
 		}
 		drawn[name] = true
 		l.lines = append(l.lines, roster.Target{UID: fmt.Sprintf("s-%08x", name),
-			Endpoint: endpoints[i%len(endpoints)],
+			Endpoint: endpoints[zone%len(endpoints)],
 			Zone:     world.ZoneName(zone), Cell: zone*100_000 + i/zones/serversPerCell, State: stateServing,
 			Weight: 1})
 	}
--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -271,8 +271,7 @@
 }
 
 // A server that restarts at its old address is another process. A connection to the old process, whose
-// response or whose dial completes after the list update, must not be used for further requests. The same
-// applies to a connection to an address that now belongs to another server.
+// response or whose dial completes after the list update, must not be used for further requests.
 func TestServerReplacedDuringAttempt(t *testing.T) {
 	for name, next := range map[string]func(addr string) target{
 		"same address":       func(addr string) target { tg := servingTarget("s-00000001", addr); tg.BootMS = 5; return tg },
@@ -317,6 +316,56 @@
 	}
 }
 
+// Guards against a new server being taken for the one whose address it took over, while discovery still lists
+// both: whether the old server's connection is idle, in use or being dialed when the new one is listed.
+func TestServerTakesOverAddress(t *testing.T) {
+	takeOver := func(u *upstream, addr string) {
+		next := servingTarget("s-00000002", addr)
+		next.BootMS = 5
+		u.update(&serverList{Targets: []target{next}}, false)
+	}
+	a, release := newHeldServer(t)
+	done := make(chan result)
+	attempt := func(u *upstream) {
+		_, do := u.newAttempt(clientTimeout)
+		r, _ := do()
+		done <- r
+	}
+	u := newTestUpstream(a.addr())
+	go attempt(u)
+	testkit.Eventually(t, "the attempt in flight", func() bool { return a.requests.Load() == 1 })
+	takeOver(u, a.addr())
+	release()
+	if r := <-done; r.code != policy.OK || len(u.idle[1]) != 0 || u.open != 0 {
+		t.Errorf("in use: code %d, %d idle, %d open", r.code, len(u.idle[1]), u.open)
+	}
+	go attempt(u)
+	if r := <-done; r.code != policy.ConnectFailed || a.requests.Load() != 1 {
+		t.Errorf("afterwards: code %d, %d requests", r.code, a.requests.Load())
+	}
+
+	u = newTestUpstream(a.addr())
+	go attempt(u)
+	if r := <-done; r.code != policy.OK || len(u.idle[1]) != 1 {
+		t.Errorf("before: code %d, %d idle", r.code, len(u.idle[1]))
+	}
+	takeOver(u, a.addr())
+	go attempt(u)
+	if r := <-done; r.code != policy.ConnectFailed || a.requests.Load() != 2 {
+		t.Errorf("idle: code %d, %d requests", r.code, a.requests.Load())
+	}
+
+	u = newTestUpstream(a.addr())
+	begun, releaseDial := holdDials(u)
+	go attempt(u)
+	<-begun
+	takeOver(u, a.addr())
+	releaseDial <- struct{}{}
+	if r := <-done; r.code != policy.ConnectFailed || a.requests.Load() != 2 || u.open != 0 {
+		t.Errorf("being dialed: code %d, %d requests, %d open", r.code, a.requests.Load(), u.open)
+	}
+}
+
 // A server recognizes a keyed retry until the end of the key's window. The retry must not start so late
 // that it reaches the server after the window, and a blocked write is aborted before its last byte.
 func TestRetryStaysInItsWindow(t *testing.T) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -100,13 +100,13 @@
 }
 
 // closedToRequests reports whether a process of a server gets no further requests: the server was removed,
-// another process has replaced this one, or its drain grace period is about to end. The margin
+// another process has replaced this one or taken over its address, or its drain grace period is about to end. The margin
 // before the end of the grace period covers the time on the network.
 func (u *upstream) closedToRequests(id policy.ServerID, incarnation uint64) bool {
 	u.mu.Lock()
 	grace := u.drainGrace
 	u.mu.Unlock()
-	s, listed := u.directory.Find(id)
+	s, listed := u.directory.FindCurrent(id)
 	return !listed || s.Incarnation != incarnation ||
 		s.State != policy.Running && u.clock.now()-s.DrainingSince > max(0, grace-drainGraceMargin)
 }
@@ -117,7 +117,7 @@
 func (u *upstream) acquire(id policy.ServerID) (c *upstreamConn, addr string, ok bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s, listed := u.directory.Find(id)
+	s, listed := u.directory.FindCurrent(id)
 	if !listed {
 		return nil, "", false
 	}
@@ -184,7 +184,7 @@
 func (u *upstream) putIdle(id policy.ServerID, c *upstreamConn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s, listed := u.directory.Find(id)
+	s, listed := u.directory.FindCurrent(id)
 	if !listed || s.State != policy.Running || s.Incarnation != c.incarnation ||
 		u.open > u.maxOpen || u.reusePauses.paused(id, u.clock.now()) {
 		c.Close()
--- a/internal/roster/directory.go
+++ b/internal/roster/directory.go
@@ -48,6 +48,7 @@
 	longBytes    int // bytes of longer strings
 	dropped      int // new servers that the limit kept out
 	incarnations uint64
+	takeovers    takeovers
 	visited      int // entries that Update visited, for tests
 }
 
@@ -150,6 +151,9 @@
 	}
 	e := &d.entries[at]
 	d.longBytes -= e.longBytes()
+	if !listed || e.Addr != addr {
+		d.takeovers.note(addr, id, t.BootMS)
+	}
 	if !listed || e.Addr != addr || e.BootMS != t.BootMS {
 		d.incarnations++
 		e.Addr, e.BootMS, e.Incarnation = addr, t.BootMS, d.incarnations
