--- a/cmd/valvering/memory_test.go
+++ b/cmd/valvering/memory_test.go
@@ -45,6 +45,8 @@
 	"head":      "A: " + strings.Repeat("h", 15000),
 	"many fields": strings.Repeat("a:\r\n", 90) + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", largeBody,
 		strings.Repeat("x", largeBody-1)),
+	"very many short fields":         strings.Repeat("a:\r\n", 4000),
+	"short fields in a whole head":   strings.Repeat("a:\r\n", 4000) + "Content-Length: 2\r\n\r\n{}",
 	"requests behind one that waits": "Content-Length: 2\r\n\r\n{}" + strings.Repeat("x", 200<<10),
 	"a large body that waits": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", largeBody,
 		strings.Repeat("x", largeBody)),
@@ -187,6 +189,57 @@
 	s.checkServes()
 }
 
+// Guards against clients that take an edge node over limits.memory_mb by writing large requests slowly.
+func TestSlowClientsStayWithinMemory(t *testing.T) {
+	const pieceBytes, pause = 1000, 10 * time.Millisecond
+	s := newDeployment(t)
+	s.memoryMB, s.sockets = greedyMemoryMB, greedySockets
+	s.write(`{"name":"dasar"}`)
+	s.start()
+	var forms []string
+	for _, text := range greedyText {
+		forms = append(forms, text)
+	}
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	writeSlowly := func(client int) {
+		for i := 0; ; i++ {
+			text := greedyRequest(fmt.Sprintf("s%04x%08x", client, i), client<<16+i) + forms[(client+i)%len(forms)]
+			c, err := net.DialTimeout("tcp", s.listen, time.Second)
+			for err == nil && len(text) > 0 {
+				piece := min(pieceBytes, len(text))
+				_, err = io.WriteString(c, text[:piece])
+				text = text[piece:]
+				select {
+				case <-stop:
+					c.Close()
+					return
+				case <-time.After(pause):
+				}
+			}
+			if c != nil {
+				c.Close()
+			}
+			select {
+			case <-stop:
+				return
+			case <-time.After(pause):
+			}
+		}
+	}
+	for i := range greedyClients {
+		clients.Go(func() { writeSlowly(i) })
+	}
+	time.AfterFunc(3*greedyTime, func() { close(stop) })
+	peak := s.peakMemory(stop)
+	clients.Wait()
+	t.Logf("%.1f MB resident at most", peak)
+	if peak > greedyMemoryMB {
+		t.Errorf("%.1f MB resident with a limit of %d", peak, greedyMemoryMB)
+	}
+	s.checkServes()
+}
+
 // longList returns the longest list that the program accepts. All its servers have the addresses of the sound
 // ones.
 func (s *deployment) longList() []string {
