Send ids again, and much behind requests, in the soak; cut requests at every byte

The soak's clients that leave now send up to 700 KB behind some requests, and the id of an unsafe request that may have run again, on a connection opened before, so that the same process gets it.

--- a/cmd/valvering/soak_clients_test.go
+++ b/cmd/valvering/soak_clients_test.go
@@ -24,7 +24,10 @@
 	pipelineClient                        // sends several requests at once
 )
 
-const pipelineDepth = 3 // requests that a pipelining client sends at once
+const (
+	pipelineDepth  = 3         // requests that a pipelining client sends at once
+	maxBytesBehind = 700 << 10 // sent behind a request by a client that then leaves
+)
 
 // soakClient sends requests to one node over connections that it keeps until the node closes them.
 type soakClient struct {
@@ -45,7 +48,7 @@
 func (f *soakFleet) startClients(n *soakNode, done <-chan struct{}, group *sync.WaitGroup) {
 	first := clientStreams * uint64(1+slices.Index(f.nodes, n))
 	kinds := []clientKind{plainClient, plainClient, plainClient, plainClient, plainClient, plainClient,
-		disconnectingClient, disconnectingClient, stallingClient, pipelineClient}
+		disconnectingClient, disconnectingClient, stallingClient, pipelineClient, plainClient, disconnectingClient}
 	for i, kind := range kinds {
 		c := &soakClient{node: n, kind: kind, class: []string{safeClass, keyedClass, onceClass}[i%3],
 			plan: []string{freePlan, ratePlan, ceilingPlan}[i/2%3], number: i,
@@ -224,8 +227,14 @@
 	return time.Second + o.tolerance()
 }
 
-// sendAndDisconnect sends a request and closes the connection without reading an answer.
+// sendAndDisconnect sends a request, sometimes with much behind it, and closes the connection without reading an
+// answer. Then the id of an unsafe request may come again, on a connection that was opened before, so that it is the
+// same process that gets it.
 func (c *soakClient) sendAndDisconnect() {
+	var impostor net.Conn
+	if c.class == onceClass {
+		impostor, _ = net.Dial("tcp", c.node.listen) // the node may be restarting
+	}
 	record, _, text := c.newRequest()
 	_, err := io.WriteString(c.conn, text)
 	c.update([]*requestRecord{record}, func(r *requestRecord) {
@@ -233,11 +242,33 @@
 			r.outcome = notSent
 		}
 	})
+	if c.random.chance(4) {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		_, _ = c.conn.Write(make([]byte, c.random.intN(maxBytesBehind)))
+	}
 	time.Sleep(c.random.upTo(120 * time.Millisecond))
 	c.closeConn()
+	mayHaveRun := false
 	c.update([]*requestRecord{record}, func(r *requestRecord) {
 		r.disconnected, r.done = time.Now(), time.Now()
+		mayHaveRun = slices.ContainsFunc(r.attempts, func(a attemptRecord) bool { return a.mayHaveRun })
 	})
+	if impostor != nil {
+		c.sendAgain(impostor, text, mayHaveRun)
+	}
+}
+
+// sendAgain sends a request again if it may have run, after its client has left. An attempt for it breaks the rules
+// on unsafe requests and on clients that have left.
+func (c *soakClient) sendAgain(conn net.Conn, text string, mayHaveRun bool) {
+	defer conn.Close()
+	if !mayHaveRun {
+		return
+	}
+	time.Sleep(c.random.upTo(300 * time.Millisecond))
+	_ = conn.SetDeadline(time.Now().Add(longestDeadline))
+	_, _ = io.WriteString(conn, text)
+	_, _ = bufio.NewReader(conn).ReadByte()
 }
 
 // sendHalf sends half of a request and waits until the node answers or closes the connection.
--- a/cmd/valvering/unsound_requests_test.go
+++ b/cmd/valvering/unsound_requests_test.go
@@ -204,3 +204,40 @@
 		}
 	}
 }
+
+// Guards against a request that arrived in part being served: cut off at any byte, by a client that then closes its
+// connection or shuts down sending.
+func TestIncompleteRequestsAreNotServed(t *testing.T) {
+	s, server := newDeployment(t), newRecordingServer(t)
+	s.setServers([]string{(&testServer{Listener: server}).line(1, 0)})
+	s.write(`{"name":"dasar"}`)
+	s.start()
+	sized := soundRequest("perpanjang", "id-sized-")
+	for name, whole := range map[string]string{
+		"sized":   sized,
+		"get":     soundRequest("katalog", "id-get-"),
+		"chunked": framed("Transfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\nA: b\r\n\r\n")(strings.Replace(sized, "id-sized-", "id-chunked-", 1)),
+	} {
+		for cut := 1; cut < len(whole); cut++ {
+			c := s.dialClient()
+			if _, err := io.WriteString(c, whole[:cut]); err != nil {
+				t.Fatal(err)
+			}
+			if cut%2 == 0 {
+				c.Close()
+				continue
+			}
+			_ = c.Conn.(*net.TCPConn).CloseWrite()
+			if resp, err := http.ReadResponse(c.in, nil); err == nil && resp.StatusCode < 400 {
+				t.Errorf("%s, cut off at byte %d: status %d", name, cut, resp.StatusCode)
+			}
+			c.Close()
+		}
+		if server.hasReceived("id-" + name) {
+			t.Errorf("%s: an incomplete request was sent to a server", name)
+		}
+	}
+	if status := s.dialClient().exchange(t, sized); status != http.StatusOK || !server.hasReceived("id-sized-") {
+		t.Errorf("a whole request got status %d", status)
+	}
+}
