Divide the edge node's serving of clients and shutdowns into steps

They are methods of serving, in a file of their own; nothing else changes. sendText of the memory tests opens its connection as dial does. Tests of shutdown, cancellation, listener, memory and idle connections pass.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,7 +4,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -229,75 +228,6 @@
 	return nil
 }
 
-// serve accepts clients until a shutdown is complete.
-func (n *Node) serve(term <-chan os.Signal) error {
-	served := make(chan error, 1)
-	accept := func() {
-		ln := n.listener
-		go func() { served <- n.server.serve(ln) }()
-	}
-	accept()
-	poll := time.NewTicker(shutdownPollInterval)
-	defer poll.Stop()
-	poll.Stop() // runs only during a shutdown
-	var state shutdownState
-	var actions shutdownActions
-	for !actions.done {
-		actions = shutdownActions{}
-		select {
-		case err := <-served:
-			return fmt.Errorf("serve: %w", cmp.Or(err, net.ErrClosed)) // not caused by a shutdown
-		case <-term:
-			previous := state.phase
-			if actions = state.signal(n.loop.clock.now()); actions.refuseWaiting {
-				slog.Info("shutdown shortened by a second signal")
-			}
-			if previous == phaseServing { // only at the first signal: later ones must not delay the poll
-				slog.Info("shutdown begins")
-				poll.Reset(shutdownPollInterval)
-			}
-		case reply := <-n.cancelShutdown:
-			listenerClosed := state.phase == phaseFinishing
-			err := state.cancel()
-			if err == nil && listenerClosed {
-				if err = n.listen(); err != nil { // another process has taken the address
-					state.signal(n.loop.clock.now())
-				} else {
-					accept()
-				}
-			}
-			if err == nil {
-				poll.Stop()
-				n.loop.post(refuseWaiting(false))
-				slog.Info("shutdown cancelled")
-			}
-			n.setPhase(state.phase)
-			reply <- err
-			continue
-		case <-poll.C:
-			open, quiet := n.server.activity()
-			actions = state.step(n.loop.clock.now(), open, quiet)
-		}
-		// SetDeadline fails when the listener is closed already and could not be opened again.
-		if actions.closeListener && n.listener.SetDeadline(time.Unix(1, 0)) == nil {
-			if err := <-served; err != nil {
-				return fmt.Errorf("serve: %w", err)
-			}
-		}
-		n.setPhase(state.phase)
-		if actions.refuseWaiting {
-			n.loop.post(refuseWaiting(true))
-		}
-		if actions.closeIdle {
-			n.server.closeIdle(shutdownQuietTime)
-		}
-	}
-	if open, _ := n.server.activity(); open > 0 {
-		return fmt.Errorf("shutdown: %d %w", open, ErrOpenConnections)
-	}
-	return nil
-}
-
 // setPhase sets the phase of the shutdown that clients and operators see.
 func (n *Node) setPhase(p phase) {
 	n.phase.Store(int32(p))
--- a/internal/node/request_memory_test.go
+++ b/internal/node/request_memory_test.go
@@ -24,12 +24,7 @@
 // sendText opens a connection and sends text on it.
 func sendText(t *testing.T, n *testNode, text string) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", n.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { c.Close() })
-	_ = c.SetDeadline(time.Now().Add(clientTimeout))
+	c := dial(t, n)
 	if _, err := io.WriteString(c, text); err != nil {
 		t.Fatal(err)
 	}
