Log why the edge node closed a connection while a request was arriving

A request whose connection was closed at the limit of connections or by a shutdown was logged as unreadable, with the time-out that wakes its reader. It is now one event, crossed the close, with the reason.

--- a/internal/node/client_conns.go
+++ b/internal/node/client_conns.go
@@ -29,7 +29,7 @@
 	slices.SortFunc(idle, func(a, b *clientConn) int { return cmp.Compare(a.stateSince, b.stateSince) })
 	for _, cc := range idle {
 		if len(s.conns)-s.closingConns > s.maxConns {
-			s.beginClose(cc)
+			s.beginClose(cc, closedAtLimit)
 		}
 	}
 	s.overLimit.Store(len(s.conns)-s.closingConns > s.maxConns)
@@ -59,7 +59,7 @@
 	cc.pacer.waited()
 	s.conns[cc] = struct{}{}
 	if full {
-		s.beginClose(cc)
+		s.beginClose(cc, closedAtLimit)
 	}
 	return cc
 }
@@ -84,7 +84,7 @@
 		}
 	}
 	if candidate != nil {
-		s.beginClose(candidate)
+		s.beginClose(candidate, closedAtLimit)
 	}
 	return candidate != nil
 }
@@ -99,7 +99,7 @@
 		age := now - cc.stateSince
 		if !cc.closing && (cc.state == connIdle && age >= minIdle ||
 			cc.state == connReading && age >= shutdownReadTimeout) {
-			s.beginClose(cc)
+			s.beginClose(cc, closedAtShutdown)
 		}
 	}
 }
@@ -132,6 +132,13 @@
 	return readTimeout == 0 || cc.SetReadDeadline(time.Now().Add(readTimeout)) == nil
 }
 
+// interrupted reports whether the edge node closes a connection, and why.
+func (s *httpServer) interrupted(cc *clientConn) (reason closeReason, closing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cc.closeReason, cc.closing
+}
+
 // markBusy sets the state of a connection to busy. It returns false if the connection is being closed. A
 // client repeats a request that crossed the close of its connection, so that request must not be processed
 // here.
--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -16,13 +16,22 @@
 	lingerShare    = 0.125                  // share of the clients' descriptors for connections being closed
 )
 
+// closeReason is why a connection is closed by the edge node while a request may be arriving.
+type closeReason string
+
+const (
+	closedAtEnd      closeReason = "" // by its own goroutine, after the last response or an error
+	closedAtLimit    closeReason = "closed at the limit of connections"
+	closedAtShutdown closeReason = "closed by the shutdown"
+)
+
 // beginClose begins the lingering close of a connection that is not busy. The read of the connection's
 // goroutine fails, and the goroutine continues with finishClose. The caller holds the mutex.
-func (s *httpServer) beginClose(cc *clientConn) {
+func (s *httpServer) beginClose(cc *clientConn, reason closeReason) {
 	if s.closingConns >= s.maxClosing {
 		s.closeOldestLingering()
 	}
-	cc.closing, cc.stateSince = true, s.clock.now()
+	cc.closing, cc.closeReason, cc.stateSince = true, reason, s.clock.now()
 	s.closingConns++
 	closeWrite(cc.Conn)
 	_ = cc.SetReadDeadline(time.Unix(1, 0)) // setState no longer changes it
@@ -47,7 +56,7 @@
 	cc.freeMemory()
 	s.mu.Lock()
 	if !cc.closing {
-		s.beginClose(cc)
+		s.beginClose(cc, closedAtEnd)
 	}
 	s.mu.Unlock()
 	if cc.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -19,7 +19,7 @@
 	requestUnreadable              // answered 4xx: its end is unknown, so its connection was closed
 	requestNoMemory                // answered 503 before it was read as a whole
 	requestIncomplete              // its client closed the connection in the middle of it
-	requestCrossed                 // it crossed the close of its connection and was not processed
+	requestCrossed                 // it crossed the close of its connection by the edge node
 	requestAbandoned               // its client disconnected before the response
 	requestRetried                 // a further attempt was begun
 	requestEventCount
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -11,6 +11,10 @@
 
 // rejectUnread answers a request that can't be read. The connection is closed then.
 func (s *httpServer) rejectUnread(cc *clientConn, err error) {
+	if reason, closing := s.interrupted(cc); closing {
+		s.requests.record(requestCrossed, requestDetails{client: cc, reason: string(reason)})
+		return
+	}
 	details := requestDetails{client: cc, reason: err.Error()}
 	if errors.Is(err, memory.ErrFull) || s.wasDisplaced(cc) {
 		s.requests.record(requestNoMemory, details)
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -73,8 +73,9 @@
 	carriedRequest bool          // has carried a valid request
 	carriedProbe   bool          // has carried a readiness probe
 	closing        bool          // is being closed: nothing more is sent, and no request is processed
-	reserved       int           // bytes of memory reserved for the request
-	displaced      bool          // its request was too slow and gave way to another one that needed memory
+	closeReason    closeReason
+	reserved       int  // bytes of memory reserved for the request
+	displaced      bool // its request was too slow and gave way to another one that needed memory
 	// closed is set when the lingering close was cut short because its descriptor was needed.
 	closed bool
 }
@@ -233,7 +234,9 @@
 		return s.rejectInvalid(cc, 400, err.Error())
 	}
 	if !s.markBusy(cc) {
-		s.requests.record(requestCrossed, requestDetails{id: c.requestID, client: cc, class: c.Class})
+		reason, _ := s.interrupted(cc)
+		s.requests.record(requestCrossed,
+			requestDetails{id: c.requestID, client: cc, class: c.Class, reason: string(reason)})
 		return false
 	}
 	cc.readAhead.beginWait()
