Free the blocks of what is read ahead as they are read

A block that was read stayed referenced by the array of the slice until the whole buffer was empty, while its memory counted as free: up to 512 KB a connection beyond the plan. Found by reading; tests of pipelining and memory pass.

--- a/internal/node/readahead.go
+++ b/internal/node/readahead.go
@@ -122,6 +122,7 @@
 		copied := copy(b[n:], a.blocks[0][a.taken:])
 		n, a.taken = n+copied, a.taken+copied
 		if a.taken == len(a.blocks[0]) {
+			a.blocks[0] = nil // frees the block
 			a.blocks, a.taken = a.blocks[1:], 0
 		}
 	}
