Reject paths with dot segments or characters that RFC 3986 doesn't allow

What callers could do: a request of class katalog with the path /katalog/../pinjam was sent on and served. Cause: the class is compared with the first segment, and the rest of the path went on as it was. Fix: isValidTarget also asks for the characters of RFC 3986, section 3.3, and no dot segment, also not an escaped one.

--- a/internal/node/request_uri.go
+++ b/internal/node/request_uri.go
@@ -27,11 +27,27 @@
 	return nil
 }
 
-// isValidTarget reports whether a target of visible characters has no fragment, and only whole escapes in its
-// path. Escapes in the query are not checked, since servers treat it as plain text.
+// pathPunctuation are the characters of a path besides letters and digits (RFC 3986, section 3.3).
+const pathPunctuation = "-._~%!$&'()*+,;=:@/"
+
+// isValidTarget reports whether a target of visible characters has no fragment, and a path that all servers read
+// alike: of the characters that RFC 3986 allows, with whole escapes and no dot segments. The first segment is the
+// class, which a dot segment would change. The query is not checked, since servers treat it as plain text.
 func isValidTarget(target []byte) bool {
 	path, _, _ := bytes.Cut(target, []byte("?"))
-	return bytes.IndexByte(target, '#') < 0 && hasWholeEscapes(path)
+	return bytes.IndexByte(target, '#') < 0 && consistsOf(path, pathPunctuation) && hasWholeEscapes(path) &&
+		!hasDotSegment(path)
+}
+
+// consistsOf reports whether text has only letters, digits and the given punctuation.
+func consistsOf(text []byte, punctuation string) bool {
+	for _, c := range text {
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		if !letter && (c < '0' || c > '9') && strings.IndexByte(punctuation, c) < 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // hasWholeEscapes reports whether each % is followed by two hexadecimal digits.
@@ -51,12 +67,18 @@
 	}
 }
 
-func isValidHost(host []byte) bool {
-	for _, c := range host {
-		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		if !letter && (c < '0' || c > '9') && strings.IndexByte(hostPunctuation, c) < 0 {
-			return false
+// hasDotSegment reports whether a segment of the path is "." or "..", also with dots, slashes or backslashes in
+// escaped form.
+func hasDotSegment(path []byte) bool {
+	plain := unescapeDots.Replace(string(path))
+	for segment := range strings.SplitSeq(plain, "/") {
+		if segment == "." || segment == ".." {
+			return true
 		}
 	}
-	return true
+	return false
 }
+
+var unescapeDots = strings.NewReplacer("%2e", ".", "%2E", ".", "%2f", "/", "%2F", "/", "%5c", "/", "%5C", "/")
+
+func isValidHost(host []byte) bool { return consistsOf(host, hostPunctuation) }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -100,8 +100,8 @@
 }
 
 // closedToRequests reports whether a process of a server gets no further requests: the server was removed,
-// another process has replaced this one or taken over its address, or its drain grace period is about to end. The margin
-// before the end of the grace period covers the time on the network.
+// another process has replaced this one or taken over its address, or its drain grace period is about to end.
+// The margin before the end of the grace period covers the time on the network.
 func (u *upstream) closedToRequests(id policy.ServerID, incarnation uint64) bool {
 	u.mu.Lock()
 	grace := u.drainGrace
