--- /dev/null
+++ b/review/standin-2/shutdown.go
@@ -0,0 +1,3 @@
+package main
+
+func shutdown(p *play) error { return nil }
