--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-var cases = map[string]func(*play) error{"crash": crash, "shutdown": shutdown, "holder": holder}
+var cases = map[string]func(*play) error{"crash": crash, "shutdown": shutdown, "holder": holder, "machine": machine, "rollback": rollback, "foreign": foreign}
 
 // main plays one case: standin CASE ROOT RECORD, with RUN and TROUBLE in the environment.
 func main() {
