--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-for i in 6 7 8 9; do
+for i in 6 7 8 9 10; do
 	GOWORK=off GOPROXY=off GOTOOLCHAIN=local GOFLAGS=-mod=mod go build -o "bin/case$i" "./$i"
 done
