Answer requests that come whole late in a shutdown before SIGKILL can come

Cause: the shutdown bounded when connections are accepted, but a request still arriving on an open connection had 2 s more and then its whole deadline (up to 6 s), while SIGKILL comes at the earliest the longest deadline (3 s at most) and 0.7 s after SIGTERM.

Change: a request that arrives from 0.5 s after the signal on has a deadline 0.2 s before the earliest SIGKILL at the latest; later ones, and those still arriving then, are refused before an attempt. The shutdown no longer closes a request that is arriving with no answer, and a failed cancellation no longer restarts its times. /status counts these refusals as "late".

Why it works: whatever is not answered by a server in time is answered by the edge node while it surely still runs, with a margin for late signals and held-up writes. Late requests that servers answer are served as before.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -253,6 +253,7 @@
 	IDInUse    int64 `json:"id_in_use"`
 	Unreadable int64 `json:"unreadable"`
 	NoMemory   int64 `json:"no_memory"`
+	Late       int64 `json:"late"`
 	Incomplete int64 `json:"incomplete"`
 	Crossed    int64 `json:"crossed_close"`
 	Abandoned  int64 `json:"abandoned"`
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -49,7 +49,7 @@
 		Refused:  &config.Refusal{Digest: "d5", Time: time.Unix(5, 0), Err: config.Faults{{Field: "listen", What: "no port"}}}}}
 	o.status.Disconnects = node.Disconnects{Waiting: 1, Dialing: 2, Writing: 3, Undetectable: 4}
 	o.status.Ends = node.RequestCounts{Served: 9, Refused: 10, Failed: 11, Invalid: 12, IDInUse: 13, Unreadable: 14,
-		NoMemory: 15, Incomplete: 16, Crossed: 17, Abandoned: 18, Retried: 19}
+		NoMemory: 15, Late: 20, Incomplete: 16, Crossed: 17, Abandoned: 18, Retried: 19}
 	o.status.Unsolicited = node.Unsolicited{Idle: 5, Write: 6, Response: 7, Unchecked: 8}
 	o.status.Lag, o.status.MaxLag, o.status.Heartbeats = 1500*time.Microsecond, 2*time.Second, 7
 	ln, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
@@ -97,7 +97,7 @@
 	if err := json.Unmarshal([]byte(body), &s); err != nil || code != 200 {
 		t.Fatal(code, body, err)
 	}
-	if s.Requests != (requests{9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19}) || !strings.Contains(body, `"id_in_use": 13`) {
+	if s.Requests != (requests{9, 10, 11, 12, 13, 14, 15, 20, 16, 17, 18, 19}) || !strings.Contains(body, `"id_in_use": 13`) {
 		t.Errorf("requests: %+v in %s", s.Requests, body)
 	}
 	if s.Unsolicited != (unsolicited{5, 6, 7, 8}) || !strings.Contains(body, `"unsolicited_bytes"`) {
--- a/internal/node/client_conns.go
+++ b/internal/node/client_conns.go
@@ -89,16 +89,13 @@
 	return candidate != nil
 }
 
-// closeIdle closes the connections that have been idle for at least the given time, and those that have been
-// sending a request for shutdownReadTimeout.
+// closeIdle closes the connections that have been idle for at least the given time.
 func (s *httpServer) closeIdle(minIdle time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.now()
 	for cc := range s.conns {
-		age := now - cc.stateSince
-		if !cc.closing && (cc.state == connIdle && age >= minIdle ||
-			cc.state == connReading && age >= shutdownReadTimeout) {
+		if !cc.closing && cc.state == connIdle && now-cc.stateSince >= minIdle {
 			s.beginClose(cc, closedAtShutdown)
 		}
 	}
@@ -149,6 +146,14 @@
 		return false
 	}
 	cc.state, cc.carriedRequest, s.lastRequest = connBusy, true, s.clock.now()
-	cc.displaced = false // the whole request had arrived
+	cc.readEnd = readToEnd // the whole request had arrived
 	return true
 }
+
+// longestDeadline returns the longest deadline of the classes in force.
+func (s *httpServer) longestDeadline() (longest time.Duration) {
+	for _, class := range s.generation.Load().File.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
--- a/internal/node/linger.go
+++ b/internal/node/linger.go
@@ -34,7 +34,7 @@
 	cc.closing, cc.closeReason, cc.stateSince = true, reason, s.clock.now()
 	s.closingConns++
 	closeWrite(cc.Conn)
-	_ = cc.SetReadDeadline(time.Unix(1, 0)) // setState no longer changes it
+	_ = cc.SetReadDeadline(expired) // setState no longer changes it
 }
 
 // closeOldestLingering closes the connection whose lingering close began first.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -102,6 +102,7 @@
 	reparse        func(c *call) error                 // parses a request again with the generation in force
 
 	refusesWaiting bool            // set by the event refuseWaiting
+	late           lateRequests    // the last event of this type
 	ended          bool            // the loop must end: policy has shut down, or endLoop came with now set
 	snapshots      *snapshotWriter // nil: no snapshots are written
 	done           chan struct{}   // closed when run returns
@@ -205,6 +206,8 @@
 		}
 	case refuseWaiting:
 		l.refusesWaiting = bool(ev)
+	case lateRequests:
+		l.late = ev
 	case captureState:
 		if st := l.snapshots.nextState(l, false); st != nil {
 			l.snapshots.writer.Offer(st)
@@ -243,13 +246,21 @@
 	}
 }
 
-// addCall registers a new request, unless it is invalid or its id belongs to another request.
+// addCall registers a new request, unless it is invalid, its id belongs to another request, or it arrived too late
+// in a shutdown to be served.
 func (l *loop) addCall(c *call) {
 	if c.generation != l.generation && l.reparse(c) != nil {
 		l.record(requestInvalid, c)
 		c.commands <- command{badStatus: statusBadRequest}
 		return
 	}
+	c.deadline = l.late.deadline(c.arrivedAt, c.arrivedAt+max(0, c.timeout-responseMargin))
+	if l.late.mustRefuse(l.clock.now()) {
+		c.lastOutcome = "arrived when the shutdown was about to end"
+		l.record(requestRefused, c)
+		c.commands <- command{refuse: true, retryAfter: refusalRetryAfter}
+		return
+	}
 	if !l.requestIDs.claim(c.requestID, l.clock.now()) {
 		l.record(requestIDInUse, c)
 		c.commands <- command{badStatus: statusConflict} // an open request with this id continues
@@ -257,7 +268,6 @@
 	}
 	l.nextID++
 	c.ID = l.nextID
-	c.deadline = c.arrivedAt + max(0, c.timeout-responseMargin)
 	c.Remaining = max(0, c.deadline-l.clock.now())
 	l.calls[c.ID] = c
 	c.backstop = &timer{at: c.deadline + backstopDelay, call: c}
--- a/internal/node/request_log.go
+++ b/internal/node/request_log.go
@@ -18,6 +18,7 @@
 	requestIDInUse                 // answered 409: another request has or had its id
 	requestUnreadable              // answered 4xx: its end is unknown, so its connection was closed
 	requestNoMemory                // answered 503 before it was read as a whole
+	requestLate                    // answered 503: the shutdown was about to end before it was read as a whole
 	requestIncomplete              // its client closed the connection in the middle of it
 	requestCrossed                 // it crossed the close of its connection by the edge node
 	requestAbandoned               // its client disconnected before the response
@@ -28,13 +29,13 @@
 // String returns the name of the event in the log.
 func (e requestEvent) String() string {
 	return [...]string{"served", "refused", "failed", "invalid", "id in use", "unreadable", "no memory",
-		"incomplete", "crossed the close", "abandoned", "retried"}[e]
+		"late", "incomplete", "crossed the close", "abandoned", "retried"}[e]
 }
 
 // RequestCounts counts the requests since the start by how they ended, and the retries. The fields are
 // described at the constants of requestEvent.
 type RequestCounts struct {
-	Served, Refused, Failed, Invalid, IDInUse, Unreadable, NoMemory, Incomplete, Crossed, Abandoned,
+	Served, Refused, Failed, Invalid, IDInUse, Unreadable, NoMemory, Late, Incomplete, Crossed, Abandoned,
 	Retried int64
 }
 
@@ -121,6 +122,6 @@
 	n := func(event requestEvent) int64 { return l.counts[event].Load() }
 	return RequestCounts{Served: n(requestServed), Refused: n(requestRefused), Failed: n(requestFailed),
 		Invalid: n(requestInvalid), IDInUse: n(requestIDInUse), Unreadable: n(requestUnreadable),
-		NoMemory: n(requestNoMemory), Incomplete: n(requestIncomplete), Crossed: n(requestCrossed),
+		NoMemory: n(requestNoMemory), Late: n(requestLate), Incomplete: n(requestIncomplete), Crossed: n(requestCrossed),
 		Abandoned: n(requestAbandoned), Retried: n(requestRetried)}
 }
--- a/internal/node/request_memory.go
+++ b/internal/node/request_memory.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"valvering.example/valvering/internal/memory"
@@ -61,8 +60,7 @@
 			return
 		}
 		freed += slowest.reserved
-		slowest.displaced = true
-		_ = slowest.SetReadDeadline(time.Unix(1, 0))
+		slowest.endReading(endedForMemory)
 	}
 }
 
@@ -72,8 +70,7 @@
 	var slowest *clientConn
 	latestStart := s.clock.now() - slowRequestAge
 	for cc := range s.conns {
-		if cc == newcomer || cc.state != connReading || cc.closing || cc.displaced || cc.reserved == 0 ||
-			cc.stateSince > latestStart {
+		if cc == newcomer || !cc.isReading() || cc.reserved == 0 || cc.stateSince > latestStart {
 			continue
 		}
 		if slowest == nil || cc.stateSince < slowest.stateSince {
@@ -83,21 +80,9 @@
 	return slowest
 }
 
-// wasDisplaced reports whether the request of a connection gave way to another one.
-func (s *httpServer) wasDisplaced(cc *clientConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return cc.displaced
-}
-
 // refuseForMemory refuses a request for which there is no memory.
 func (s *httpServer) refuseForMemory(cc *clientConn) {
-	cc.input.discardAll() // the client may take long to read the response
-	fields := ""
-	if advice := min(memoryRetryAfter, s.generation.Load().File.Settings.MaxRetryAfter); advice > 0 {
-		fields = "Retry-After: " + strconv.FormatFloat(advice.Seconds(), 'f', -1, 64) + "\r\n"
-	}
-	s.rejectAndClose(cc, 503, fields, memory.ErrFull.Error())
+	s.refuseUnread(cc, memoryRetryAfter, memory.ErrFull.Error())
 }
 
 // freeMemory frees the memory of a connection that is being closed.
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -16,11 +16,17 @@
 		return
 	}
 	details := requestDetails{client: cc, reason: err.Error()}
-	if errors.Is(err, memory.ErrFull) || s.wasDisplaced(cc) {
+	end := s.readEndOf(cc)
+	if errors.Is(err, memory.ErrFull) || end == endedForMemory {
 		s.requests.record(requestNoMemory, details)
 		s.refuseForMemory(cc)
 		return
 	}
+	if end == endedByShutdown {
+		s.requests.record(requestLate, details)
+		s.refuseUnread(cc, refusalRetryAfter, "the edge node is about to end")
+		return
+	}
 	status := errorStatus(err)
 	if status == 0 {
 		s.requests.record(requestIncomplete, details)
@@ -136,7 +142,7 @@
 	cc.badRequests = 0
 	fields := ""
 	if cmd.retryAfter > 0 {
-		fields = "Retry-After: " + strconv.FormatFloat(cmd.retryAfter.Seconds(), 'f', -1, 64) + "\r\n"
+		fields = retryAfterField(cmd.retryAfter)
 	}
 	return s.respond(cc, 429, fields, "refused")
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -74,8 +74,8 @@
 	carriedProbe   bool          // has carried a readiness probe
 	closing        bool          // is being closed: nothing more is sent, and no request is processed
 	closeReason    closeReason
-	reserved       int  // bytes of memory reserved for the request
-	displaced      bool // its request was too slow and gave way to another one that needed memory
+	reserved       int     // bytes of memory reserved for the request
+	readEnd        readEnd // whether the reading of its request was ended early
 	// closed is set when the lingering close was cut short because its descriptor was needed.
 	closed bool
 }
--- a/internal/node/serving.go
+++ b/internal/node/serving.go
@@ -59,12 +59,14 @@
 // signal begins a shutdown, or shortens one.
 func (s *serving) signal() shutdownActions {
 	previous := s.state.phase
-	actions := s.state.signal(s.node.loop.clock.now())
+	n := s.node
+	actions := s.state.signal(n.loop.clock.now(), n.server.longestDeadline())
 	if actions.refuseWaiting {
 		slog.Info("shutdown shortened by a second signal")
 	}
 	if previous == phaseServing { // only at the first signal: later ones must not delay the poll
 		slog.Info("shutdown begins")
+		n.loop.post(s.state.late)
 		s.poll.Reset(shutdownPollInterval)
 	}
 	return actions
@@ -74,18 +76,20 @@
 func (s *serving) cancel() error {
 	n := s.node
 	defer func() { n.setPhase(s.state.phase) }()
+	interrupted := s.state
 	listenerClosed := s.state.phase == phaseFinishing
 	if err := s.state.cancel(); err != nil {
 		return err
 	}
 	if listenerClosed {
 		if err := n.listen(); err != nil { // another process has taken the address
-			s.state.signal(n.loop.clock.now())
+			s.state = interrupted
 			return err
 		}
 		s.accept()
 	}
 	s.poll.Stop()
+	n.loop.post(lateRequests{})
 	n.loop.post(refuseWaiting(false))
 	slog.Info("shutdown cancelled")
 	return nil
@@ -94,8 +98,8 @@
 // perform carries out a step of a shutdown.
 func (s *serving) perform(actions shutdownActions) error {
 	n := s.node
-	// SetDeadline fails when the listener is closed already and could not be opened again.
-	if actions.closeListener && n.listener.SetDeadline(time.Unix(1, 0)) == nil {
+	// SetDeadline fails if the listener is closed already.
+	if actions.closeListener && n.listener.SetDeadline(expired) == nil {
 		if err := <-s.served; err != nil {
 			return fmt.Errorf("serve: %w", err)
 		}
@@ -106,6 +110,10 @@
 	}
 	if actions.closeIdle {
 		n.server.closeIdle(shutdownQuietTime)
+		n.server.endReading(shutdownReadTimeout, endedByShutdown)
+	}
+	if actions.endReading {
+		n.server.endReading(0, endedByShutdown)
 	}
 	return nil
 }
--- a/internal/node/shutdown.go
+++ b/internal/node/shutdown.go
@@ -31,9 +31,21 @@
 	shutdownMinAccept = 550 * time.Millisecond
 
 	// After this time the listener begins to close, even if clients keep connecting; that takes up to
-	// shutdownFinalAccept. A request that arrives later than 0.7 s after the signal may meet SIGKILL before
-	// its deadline.
-	shutdownMaxAccept = 700*time.Millisecond - shutdownFinalAccept
+	// shutdownFinalAccept. Requests that are still arriving on open connections later than shutdownLateAfter
+	// are late requests.
+	shutdownMaxAccept = shutdownLateAfter - shutdownFinalAccept
+)
+
+// SIGKILL follows at the earliest when a request that arrived by shutdownLateAfter has reached its deadline. A
+// request that arrives later could be killed unanswered, so its answer must not wait for its own deadline.
+const (
+	shutdownLateAfter = 700 * time.Millisecond
+
+	// A deadline that is longer than this does not delay SIGKILL.
+	shutdownMaxDeadline = 3 * time.Second
+
+	// Time by which the edge node may notice the signal late, or be held up before it writes an answer.
+	shutdownKillMargin = 200 * time.Millisecond
 )
 
 // Durations within a shutdown.
@@ -59,11 +71,40 @@
 	phase     phase
 	startedAt time.Duration
 	shortened bool
+	late      lateRequests
+}
+
+// lateRequests says which requests arrive so late in a shutdown that SIGKILL could come before their deadline,
+// and when such requests have to be answered. The zero value means that no shutdown is in progress.
+type lateRequests struct {
+	from     time.Duration // requests that arrive from then on are late
+	answerBy time.Duration // when a late request has to be answered
+}
+
+// newLateRequests returns the late requests of a shutdown. longestDeadline is the longest deadline of the
+// classes.
+func newLateRequests(startedAt, longestDeadline time.Duration) lateRequests {
+	from := startedAt + shutdownLateAfter - shutdownKillMargin
+	return lateRequests{from: from, answerBy: from + min(longestDeadline, shutdownMaxDeadline)}
+}
+
+// deadline returns the time by which a request has to be answered whose own deadline is given.
+func (l lateRequests) deadline(arrivedAt, deadline time.Duration) time.Duration {
+	if l == (lateRequests{}) || arrivedAt < l.from {
+		return deadline
+	}
+	return min(deadline, l.answerBy)
+}
+
+// mustRefuse reports whether no time is left to serve a late request.
+func (l lateRequests) mustRefuse(now time.Duration) bool {
+	return l != (lateRequests{}) && now >= l.answerBy
 }
 
 // shutdownActions are the actions that a shutdown requires now.
 type shutdownActions struct {
 	closeIdle     bool // close idle connections
+	endReading    bool // refuse the requests that are still arriving
 	closeListener bool // accept no further connections
 	refuseWaiting bool // answer the requests that wait for a server; clients may retry them elsewhere
 	done          bool // stop
@@ -71,11 +112,12 @@
 
 // signal handles a signal to stop. The first one starts the shutdown. The second one shortens it:
 // the edge node no longer waits for requests that may still arrive, and gives up those that wait for
-// a server.
-func (d *shutdownState) signal(now time.Duration) (s shutdownActions) {
+// a server. longestDeadline is the longest deadline of the classes.
+func (d *shutdownState) signal(now, longestDeadline time.Duration) (s shutdownActions) {
 	switch {
 	case d.phase == phaseServing:
 		d.phase, d.startedAt = phaseLeaving, now
+		d.late = newLateRequests(now, longestDeadline)
 	case d.phase < phaseStopped && !d.shortened:
 		d.shortened, s.refuseWaiting = true, true
 	}
@@ -111,6 +153,7 @@
 	if d.phase == phaseFinishing && elapsed >= shutdownTimeout {
 		d.phase, s.done = phaseStopped, true
 	}
+	s.endReading = d.phase == phaseFinishing && now >= d.late.answerBy
 	return s
 }
 
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -43,8 +43,10 @@
 				actions: shutdownActions{closeIdle: true}},
 			{now: 650 * ms, open: 1, quiet: 0, want: phaseFinishing,
 				actions: shutdownActions{closeIdle: true, closeListener: true}},
-			{now: 7 * time.Second, open: 1, quiet: time.Second, want: phaseFinishing,
+			{now: 3499 * ms, open: 1, quiet: time.Second, want: phaseFinishing,
 				actions: shutdownActions{closeIdle: true}},
+			{now: 3500 * ms, open: 1, quiet: time.Second, want: phaseFinishing,
+				actions: shutdownActions{closeIdle: true, endReading: true}},
 			{now: 8 * time.Second, open: 0, quiet: time.Second, want: phaseStopped,
 				actions: shutdownActions{closeIdle: true, done: true}},
 		},
@@ -81,7 +83,7 @@
 		for i, a := range list {
 			var got shutdownActions
 			if a.signal {
-				got = d.signal(a.now)
+				got = d.signal(a.now, clientTimeout)
 			} else {
 				got = d.step(a.now, a.open, a.quiet)
 			}
@@ -97,12 +99,12 @@
 	if d.cancel() == nil {
 		t.Error("cancelled a shutdown that had not begun")
 	}
-	d.signal(time.Second)
-	d.signal(time.Second)
+	d.signal(time.Second, clientTimeout)
+	d.signal(time.Second, clientTimeout)
 	if err := d.cancel(); err != nil || d != (shutdownState{}) {
 		t.Errorf("%v, %+v", err, d)
 	}
-	d.signal(time.Minute) // starts a new shutdown instead of shortening one
+	d.signal(time.Minute, clientTimeout) // starts a new shutdown instead of shortening one
 	if d.phase != phaseLeaving || d.shortened || d.startedAt != time.Minute {
 		t.Errorf("%+v", d)
 	}
