Tell other edge nodes which request ids are in use, and reject them there

Cause: ids in use were known to one process alone; no message told the other edge nodes.

Change: package policy/claims, pure. In a fleet whose edge nodes report to each other, each tells all others of the ids of its open requests, in its reports as far as they have room and in datagrams of its own, up to 0.9 of what an edge node can receive. In a larger one the claim goes to the id's owner, which tells whoever claimed an id later, up to half of the datagrams. Reports carry claims only to edge nodes that have shown that they read them; older programs ignore the rest. /status shows how many ids are claimed elsewhere.

Why it works: an id that another edge node claimed gets 409 before it is forwarded. If the claim comes after the request was accepted, its age tells which came first, and the later one is rejected and its attempt cancelled.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -196,19 +196,20 @@
 
 // status is the body of /status.
 type status struct {
-	Name        string      `json:"name"`
-	Ready       bool        `json:"ready"`
-	Phase       string      `json:"phase"` // of a shutdown
-	Generation  generation  `json:"generation"`
-	Before      *generation `json:"before"`
-	Refused     *refusal    `json:"refused"`
-	Snapshots   *snapshots  `json:"snapshots"` // null: snapshots are disabled
-	Duties      []duty      `json:"duties,omitempty"`
-	Loop        loopLag     `json:"loop"`
-	Disconnects disconnects `json:"clients_left"`
-	Requests    requests    `json:"requests"`
-	Unsolicited unsolicited `json:"unsolicited_bytes"`
-	Memory      messages    `json:"message_memory"`
+	Name         string      `json:"name"`
+	Ready        bool        `json:"ready"`
+	Phase        string      `json:"phase"` // of a shutdown
+	Generation   generation  `json:"generation"`
+	Before       *generation `json:"before"`
+	Refused      *refusal    `json:"refused"`
+	Snapshots    *snapshots  `json:"snapshots"` // null: snapshots are disabled
+	Duties       []duty      `json:"duties,omitempty"`
+	Loop         loopLag     `json:"loop"`
+	Disconnects  disconnects `json:"clients_left"`
+	Requests     requests    `json:"requests"`
+	IDsElsewhere int64       `json:"ids_claimed_elsewhere"`
+	Unsolicited  unsolicited `json:"unsolicited_bytes"`
+	Memory       messages    `json:"message_memory"`
 }
 
 // messages is the memory for messages that need more than the fixed memory of their connection.
@@ -313,12 +314,13 @@
 
 func statusOf(s node.Status) status {
 	out := status{Name: s.Name, Ready: s.Ready, Phase: s.Phase,
-		Generation:  generation{s.Current.Number, s.Current.Digest, s.Current.Time},
-		Loop:        loopLag{milliseconds(s.Lag), milliseconds(s.MaxLag), s.Heartbeats},
-		Disconnects: disconnects(s.Disconnects),
-		Requests:    requests(s.Ends),
-		Unsolicited: unsolicited(s.Unsolicited),
-		Memory:      messages{pool(s.Requests), pool(s.Responses)}}
+		Generation:   generation{s.Current.Number, s.Current.Digest, s.Current.Time},
+		Loop:         loopLag{milliseconds(s.Lag), milliseconds(s.MaxLag), s.Heartbeats},
+		Disconnects:  disconnects(s.Disconnects),
+		Requests:     requests(s.Ends),
+		IDsElsewhere: s.IDsElsewhere,
+		Unsolicited:  unsolicited(s.Unsolicited),
+		Memory:       messages{pool(s.Requests), pool(s.Responses)}}
 	if s.Previous != nil {
 		out.Before = &generation{s.Previous.Number, s.Previous.Digest, s.Previous.Time}
 	}
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -51,6 +51,7 @@
 	o.status.Ends = node.RequestCounts{Served: 9, Refused: 10, Failed: 11, Invalid: 12, IDInUse: 13, Unreadable: 14,
 		NoMemory: 15, Late: 20, Incomplete: 16, Crossed: 17, Abandoned: 18, Retried: 19}
 	o.status.Unsolicited = node.Unsolicited{Idle: 5, Write: 6, Response: 7, Unchecked: 8}
+	o.status.IDsElsewhere = 21
 	o.status.Lag, o.status.MaxLag, o.status.Heartbeats = 1500*time.Microsecond, 2*time.Second, 7
 	ln, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
@@ -100,6 +101,9 @@
 	if s.Requests != (requests{9, 10, 11, 12, 13, 14, 15, 20, 16, 17, 18, 19}) || !strings.Contains(body, `"id_in_use": 13`) {
 		t.Errorf("requests: %+v in %s", s.Requests, body)
 	}
+	if s.IDsElsewhere != 21 || !strings.Contains(body, `"ids_claimed_elsewhere": 21`) {
+		t.Errorf("ids claimed elsewhere: %s", body)
+	}
 	if s.Unsolicited != (unsolicited{5, 6, 7, 8}) || !strings.Contains(body, `"unsolicited_bytes"`) {
 		t.Errorf("unsolicited bytes: %+v in %s", s.Unsolicited, body)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,10 +3,12 @@
 import (
 	"container/heap"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"valvering.example/valvering/internal/config"
 	"valvering.example/valvering/policy"
+	"valvering.example/valvering/policy/claims"
 )
 
 // clock is the monotonic clock of an edge node. It counts from the Unix epoch, so that start times in
@@ -110,6 +112,8 @@
 	nextID         policy.RequestID
 	calls          map[policy.RequestID]*call
 	requestIDs     *requestIDs
+	claims         *claims.Claims // the ids in use at other edge nodes; nil: they send none
+	idsElsewhere   atomic.Int64   // number of ids that other edge nodes have claimed
 	heartbeat      heartbeat
 	disconnects    disconnectCounts
 	requests       *requestLog // nil in tests of the loop alone
@@ -177,6 +181,7 @@
 			l.failOverdue(t.call)
 		case t.disconnectCheck:
 			l.checkDisconnects()
+			l.sendClaims()
 		default:
 			l.dispatch(policy.Timer{Token: t.token})
 		}
@@ -191,7 +196,7 @@
 	case outcome:
 		l.endAttempt(ev)
 	case policy.PeerMessage:
-		l.dispatch(ev)
+		l.receivePeerMessage(ev)
 	case listUpdate:
 		l.updateServers(ev)
 	case barrier:
@@ -261,7 +266,7 @@
 		c.commands <- command{refuse: true, retryAfter: refusalRetryAfter}
 		return
 	}
-	if !l.requestIDs.claim(c.requestID, l.clock.now()) {
+	if !l.claimID(c) {
 		l.record(requestIDInUse, c)
 		c.commands <- command{badStatus: statusConflict} // an open request with this id continues
 		return
@@ -272,6 +277,7 @@
 	l.calls[c.ID] = c
 	c.backstop = &timer{at: c.deadline + backstopDelay, call: c}
 	heap.Push(&l.timers, c.backstop)
+	l.announceID(c)
 	l.dispatch(c.Request)
 }
 
@@ -291,7 +297,7 @@
 	case o.code == policy.OK:
 		l.recordEnd(requestServed, c)
 		l.removeCall(c)
-		l.requestIDs.retire(c.requestID, l.clock.now())
+		l.freeID(c, false)
 	case o.badRequest && c.finalCommand == nil:
 		l.respond(c, command{badStatus: statusBadRequest})
 	case c.finalCommand != nil:
@@ -346,19 +352,27 @@
 // finish gives a request its final answer. If an attempt is in flight, it cancels the attempt, and the answer
 // follows at the attempt's end.
 func (l *loop) finish(c *call, cmd command) {
-	if c.inFlight == nil {
-		l.respond(c, cmd)
-		return
+	if c.inFlight != nil {
+		cmd = command{} // the attempt may run, so the answer can't be a refusal
 	}
-	if c.finalCommand == nil {
-		// The attempt may run, so the answer can't be a refusal.
-		c.finalCommand = &command{}
+	l.finishWith(c, cmd)
+}
+
+// finishWith gives a request the given final answer, whether or not an attempt is in flight.
+func (l *loop) finishWith(c *call, cmd command) {
+	switch {
+	case c.inFlight == nil:
+		l.respond(c, cmd)
+	case c.finalCommand == nil:
+		c.finalCommand = &cmd
 		c.inFlight.cancel()
 	}
 }
 
 func (l *loop) respond(c *call, cmd command) {
 	switch {
+	case cmd.badStatus == statusConflict:
+		l.recordEnd(requestIDInUse, c)
 	case cmd.badStatus != 0:
 		l.recordEnd(requestInvalid, c)
 	case cmd.refuse:
@@ -367,11 +381,7 @@
 		l.recordEnd(requestFailed, c)
 	}
 	l.removeCall(c)
-	if cmd.refuse {
-		l.requestIDs.release(c.requestID)
-	} else {
-		l.requestIDs.retire(c.requestID, l.clock.now())
-	}
+	l.freeID(c, cmd.refuse)
 	c.commands <- cmd
 }
 
@@ -477,7 +487,7 @@
 		heap.Push(&l.timers, &timer{at: l.clock.now() + max(minTimerDelay, a.After), token: a.Token})
 	case policy.SendMessage:
 		if l.sendToPeer != nil {
-			l.sendToPeer(a.To, a.Data)
+			l.sendPolicyMessage(a)
 		}
 	case policy.Watch:
 		// Nothing to do: discovery.run watches the list from the start.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,6 +146,7 @@
 		return err
 	}
 	n.loop.sendToPeer = n.peers.send
+	n.loop.claims = newClaims(cfg.Settings, n.loop.gateway.ReportsToAll())
 	if len(cfg.Duties) > 0 {
 		n.duties = newDuties(cfg.Duties, cfg.Settings.Self, cfg.Settings.Gateways, cfg.Seed, clk, n.peers.send)
 	}
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -38,6 +38,7 @@
 	Heartbeats       int64         // heartbeats of the loop since the start; constant while it is blocked
 	Disconnects      Disconnects
 	Ends             RequestCounts
+	IDsElsewhere     int64 // ids that other edge nodes have claimed, as far as this one was told
 
 	Unsolicited Unsolicited
 	Requests    memory.Usage // memory for requests
@@ -62,6 +63,7 @@
 	s.Disconnects = Disconnects{disconnects.held.Load(), disconnects.dialing.Load(),
 		disconnects.writing.Load(), disconnects.hidden.Load()}
 	s.Ends = n.loop.requests.load()
+	s.IDsElsewhere = n.loop.idsElsewhere.Load()
 	s.Unsolicited = n.upstream.unsolicited.load()
 	s.Requests, s.Responses = n.server.memory.Usage(), n.upstream.memory.Usage()
 	if n.duties != nil {
--- a/policy/bounds.go
+++ b/policy/bounds.go
@@ -13,6 +13,9 @@
 // TracksAllServers reports whether the gateway keeps state of each listed server, as in a small fleet.
 func (g *Gateway) TracksAllServers() bool { return !g.largeFleet }
 
+// ReportsToAll reports whether each gateway sends its counts to all others, as in a small fleet.
+func (g *Gateway) ReportsToAll() bool { return !g.largeFleet }
+
 // hasRoomFor reports whether a customer is known or may become known.
 func (g *Gateway) hasRoomFor(key uint64) bool {
 	limit := g.settings.MaxCustomers
