Accept connections that are queued as the listener closes

Seen by callers: a client that connected in the last moment of a shutdown's listener had its request's connection reset, on a connection that the system had accepted.

Cause: the listener closes when its last deadline expires; what the kernel queues between the deadline and the close, about a millisecond on a busy machine, is reset.

Change: before the close the listener's queue is asked for its length; queued connections are accepted.

Why it works: a close follows within microseconds of an empty queue.

TestListenerServesConnectionsQueuedAtTheEnd fails before (connection reset by peer).

--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -438,3 +438,54 @@
 		t.Error(err)
 	}
 }
+
+// lateListener is a listener on which connections arrive when the deadline for the last accepts has just expired.
+type lateListener struct {
+	*net.TCPListener
+	expired int
+	arrive  func()
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	c, err := l.TCPListener.Accept()
+	if err != nil {
+		if l.expired++; l.expired == 2 {
+			l.arrive()
+		}
+	}
+	return c, err
+}
+
+// Guards against requests on connections that arrive at the very end of a listener's last accepts being lost: its close
+// would reset them.
+func TestListenerServesConnectionsQueuedAtTheEnd(t *testing.T) {
+	a := newTestServer(t, respondWith("200 OK", "", "hits"))
+	n := startNodeWithServers(t, a.addr())
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a second listener, since closing its own ends the edge node
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns []net.Conn
+	late := &lateListener{TCPListener: ln.(*net.TCPListener), arrive: func() {
+		for range 3 {
+			c, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Error(err)
+				continue
+			}
+			t.Cleanup(func() { c.Close() })
+			_ = c.SetDeadline(time.Now().Add(clientTimeout))
+			_ = newRequest(n.url, "lookup", clientTimeout).Write(c)
+			conns = append(conns, c)
+		}
+	}}
+	_ = late.SetDeadline(expired)
+	if err := n.server.serve(late); err != nil {
+		t.Error(err)
+	}
+	for i, c := range conns {
+		if status, _ := readStatus(t, c); status != http.StatusOK {
+			t.Errorf("status %d on connection %d", status, i)
+		}
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -117,7 +117,7 @@
 // reset queued connections. An accept error ends serve only if the listener is unusable. Any other error may
 // belong to a single connection that failed before it was accepted, so serve retries after a delay.
 func (s *httpServer) serve(ln net.Listener) error {
-	finalAccepts := false
+	closing := closingListener{}
 	for pause := minAcceptDelay; ; {
 		c, err := ln.Accept()
 		switch {
@@ -128,11 +128,9 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			d, ok := ln.(interface{ SetDeadline(time.Time) error })
-			if finalAccepts || !ok || d.SetDeadline(time.Now().Add(shutdownFinalAccept)) != nil {
+			if !closing.extend(ln) {
 				return ln.Close()
 			}
-			finalAccepts = true
 			continue
 		case isAny(err, syscall.EBADF, syscall.EINVAL, syscall.ENOTSOCK):
 			return err
