--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -37,44 +37,6 @@
 	statusConflict   = 409
 )
 
-// call is an open request of a client. The goroutine of the client's connection waits for commands and
-// carries them out one at a time. The loop does everything else.
-type call struct {
-	policy.Request
-	requestID  string             // X-Request-Id
-	generation *config.Generation // the generation that the request was parsed with
-	message    *clientRequest     // the connection's buffer, unchanged until the response
-	class      *policy.Class
-	client     *clientConn // nil in tests of the loop alone
-	arrivedAt  time.Duration
-	timeout    time.Duration // X-Deadline-Ms
-	commands   chan command  // capacity 1: the next is sent once the last is carried out
-
-	deadline     time.Duration // the client's deadline less responseMargin
-	backstop     *timer
-	attemptCount int
-	mayHaveRunAt time.Duration // start of the first attempt that the server may have run; 0: none
-	lastOutcome  string        // of the last attempt that has ended, for the log
-	abandoned    bool          // its client has disconnected
-	inFlight     *attempt      // nil: none
-	finalCommand *command      // sent once the attempt in flight has ended; nil: not decided
-}
-
-// command is an attempt to carry out or, if attempt is nil, the final answer to the client.
-type command struct {
-	attempt    *attempt
-	refuse     bool
-	badStatus  int // status of the answer to an invalid request; 0: the request is valid
-	retryAfter time.Duration
-}
-
-// outcome is the event that an attempt has ended.
-type outcome struct {
-	call    *call
-	attempt *attempt
-	result
-}
-
 // applyGeneration is the event that puts a generation in force. The loop closes done afterwards.
 type applyGeneration struct {
 	generation *config.Generation
@@ -162,32 +124,6 @@
 	}
 }
 
-// armTimer sets the timer to the earliest entry of the heap.
-func (l *loop) armTimer() {
-	if len(l.timers) == 0 || l.timerAt != 0 && l.timerAt <= l.timers[0].at {
-		return
-	}
-	l.timerAt = l.timers[0].at
-	l.timer.Reset(max(0, l.timerAt-l.clock.now()))
-}
-
-// fireTimers handles the timers that have expired. Timers set meanwhile wait for the next call, however
-// short they are, so that events are handled in between.
-func (l *loop) fireTimers() {
-	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].at <= now; {
-		t := heap.Pop(&l.timers).(*timer)
-		switch {
-		case t.call != nil:
-			l.failOverdue(t.call)
-		case t.disconnectCheck:
-			l.checkDisconnects()
-			l.sendClaims()
-		default:
-			l.dispatch(policy.Timer{Token: t.token})
-		}
-	}
-}
-
 // handle handles one event from the queue.
 func (l *loop) handle(ev any) {
 	switch ev := ev.(type) {
@@ -232,12 +168,6 @@
 	close(ev.done)
 }
 
-// rejection returns the final answer to a request that gets no further attempt. A request that may have run and
-// is not safe to repeat is failed, since a refusal invites the client to retry.
-func (c *call) rejection() command {
-	return command{refuse: c.mayHaveRunAt == 0 || c.class.Effect == policy.Safe}
-}
-
 // refuseAllWaiting rejects all requests without an attempt in flight.
 func (l *loop) refuseAllWaiting() {
 	for id, c := range l.calls {
@@ -398,11 +328,6 @@
 		attempts: c.attemptCount, age: l.clock.now() - c.arrivedAt, reason: c.lastOutcome})
 }
 
-// outcomeNames are the names of policy.Code in the log.
-var outcomeNames = map[policy.Code]string{policy.OK: "ok", policy.Error: "error", policy.Full: "full",
-	policy.TimedOut: "timed out", policy.ConnectFailed: "connect failed", policy.Reset: "reset",
-	policy.Cancelled: "cancelled", policy.NotSent: "not sent"}
-
 // removeCall removes a request from the loop once its answer is decided or its client has disconnected. Its id
 // stays claimed while it has an attempt in flight.
 func (l *loop) removeCall(c *call) {
@@ -527,33 +452,3 @@
 	c.inFlight = a
 	c.commands <- command{attempt: a}
 }
-
-// timer is a timer of policy, the backstop of a request, or the next check for disconnected clients.
-type timer struct {
-	at              time.Duration
-	token           string
-	call            *call
-	disconnectCheck bool // check for disconnected clients
-	index           int  // index in the heap; -1: removed
-}
-
-type timerHeap []*timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
-func (h timerHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *timerHeap) Push(x any) {
-	t := x.(*timer)
-	t.index = len(*h)
-	*h = append(*h, t)
-}
-func (h *timerHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1], t.index = nil, -1
-	*h = old[:len(old)-1]
-	return t
-}
