Check in the soak that late requests are answered before SIGKILL can come

The soak let clients use their connections through a shutdown, but none wrote slowly, and answers after the earliest SIGKILL (the longest deadline, 3 s at most, and 0.7 s after SIGTERM) were not looked at. Three slow clients for each edge node write unsafe requests in eight pieces; a request that comes whole over 0.75 s after SIGTERM must have its answer by then.

TestSoakRulesDetectViolations has the new rule alone.

--- a/cmd/valvering/soak_clients_test.go
+++ b/cmd/valvering/soak_clients_test.go
@@ -22,11 +22,14 @@
 	disconnectingClient                   // closes its connection during some requests
 	stallingClient                        // stalls in the middle of some requests
 	pipelineClient                        // sends several requests at once
+	slowClient                            // writes unsafe requests slowly, and waits long for their answers
 )
 
 const (
-	pipelineDepth  = 3         // requests that a pipelining client sends at once
-	maxBytesBehind = 700 << 10 // sent behind a request by a client that then leaves
+	slowPieces     = 8                       // in which a slow client writes a request,
+	longestPause   = 1500 * time.Millisecond // with pauses of up to this in sum
+	pipelineDepth  = 3                       // requests that a pipelining client sends at once
+	maxBytesBehind = 700 << 10               // sent behind a request by a client that then leaves
 )
 
 // soakClient sends requests to one node over connections that it keeps until the node closes them.
@@ -48,11 +51,15 @@
 func (f *soakFleet) startClients(n *soakNode, done <-chan struct{}, group *sync.WaitGroup) {
 	first := clientStreams * uint64(1+slices.Index(f.nodes, n))
 	kinds := []clientKind{plainClient, plainClient, plainClient, plainClient, plainClient, plainClient,
-		disconnectingClient, disconnectingClient, stallingClient, pipelineClient, plainClient, disconnectingClient}
+		disconnectingClient, disconnectingClient, stallingClient, pipelineClient, plainClient, disconnectingClient,
+		slowClient, slowClient, slowClient}
 	for i, kind := range kinds {
 		c := &soakClient{node: n, kind: kind, class: []string{safeClass, keyedClass, onceClass}[i%3],
 			plan: []string{freePlan, ratePlan, ceilingPlan}[i/2%3], number: i,
 			random: newRandomSource(f.seed, first+uint64(i)), done: done}
+		if kind == slowClient {
+			c.class = onceClass
+		}
 		group.Go(c.run)
 	}
 }
@@ -120,7 +127,9 @@
 	id = fmt.Sprintf("%s-%d-%d", c.node.name, c.number, f.lastID)
 	f.mu.Unlock()
 	deadline := 300*time.Millisecond + c.random.upTo(longestDeadline-300*time.Millisecond)
-	deadline = deadline.Truncate(time.Millisecond)
+	if deadline = deadline.Truncate(time.Millisecond); c.kind == slowClient {
+		deadline = longestDeadline
+	}
 	record = &requestRecord{node: c.node.name, class: c.class, customer: c.customer(), deadline: deadline,
 		firstOnConn: c.firstRequest, descriptorsShort: f.descriptorsShort}
 	f.observed.mu.Lock()
@@ -151,7 +160,7 @@
 		text.WriteString(one)
 	}
 	began := time.Now()
-	_, err := io.WriteString(c.conn, text.String())
+	err := c.write(text.String())
 	c.update(pending, func(r *requestRecord) {
 		if r.sent = time.Now(); err != nil {
 			r.outcome = notSent
@@ -177,6 +186,23 @@
 	}
 }
 
+// write writes to the connection, at once or slowly.
+func (c *soakClient) write(text string) error {
+	pieces, pause := 1, time.Duration(0)
+	if c.kind == slowClient {
+		pieces, pause = slowPieces, c.random.upTo(longestPause/slowPieces)
+	}
+	for i := range pieces {
+		if i > 0 {
+			time.Sleep(pause)
+		}
+		if _, err := io.WriteString(c.conn, text[i*len(text)/pieces:(i+1)*len(text)/pieces]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // update changes the records of requests.
 func (c *soakClient) update(list []*requestRecord, change func(*requestRecord)) {
 	o := c.node.fleet.observed
--- a/cmd/valvering/soak_fleet_test.go
+++ b/cmd/valvering/soak_fleet_test.go
@@ -469,7 +469,7 @@
 	n.mu.Lock()
 	exited, cmd := n.exited, n.cmd
 	n.mu.Unlock()
-	record := stopRecord{node: n.name}
+	record := stopRecord{node: n.name, signalled: from}
 	select {
 	case <-exited:
 	case <-time.After(time.Until(from.Add(killAfter + n.fleet.observed.tolerance()))):
--- a/cmd/valvering/soak_rules_check_test.go
+++ b/cmd/valvering/soak_rules_check_test.go
@@ -53,6 +53,10 @@
 		"7 attempts": func(_ *observations, r *requestRecord) {
 			r.attempts = make([]attemptRecord, maxAttempts+1)
 		},
+		"answered 1ms after the earliest SIGKILL": func(o *observations, r *requestRecord) {
+			r.sent, r.deadline, r.done = after(751*time.Millisecond), longestDeadline, after(2751*time.Millisecond)
+			o.stops = []stopRecord{{node: "n0", signalled: at, took: 3 * time.Second}}
+		},
 		"did not end within": func(o *observations, _ *requestRecord) {
 			o.stops = []stopRecord{{node: "n0", killed: true}}
 		},
@@ -111,6 +115,14 @@
 		"no longer draining": func(o *observations, r *requestRecord) {
 			o.drains = []drainRecord{{node: "n0", server: "s", from: after(-time.Hour), to: at}}
 		},
+		"sent in time, answered after the earliest SIGKILL": func(o *observations, r *requestRecord) {
+			r.sent, r.deadline, r.done = after(750*time.Millisecond), longestDeadline, after(2751*time.Millisecond)
+			o.stops = []stopRecord{{node: "n0", signalled: at, took: 3 * time.Second}}
+		},
+		"sent late, answered before the earliest SIGKILL": func(o *observations, r *requestRecord) {
+			r.sent, r.deadline, r.done = after(751*time.Millisecond), longestDeadline, after(2750*time.Millisecond)
+			o.stops = []stopRecord{{node: "n0", signalled: at, took: 3 * time.Second}}
+		},
 		"ended and was ready in time": func(o *observations, _ *requestRecord) {
 			o.stops = []stopRecord{{restarted: true, restartTook: readyWithin}}
 		},
--- a/cmd/valvering/soak_rules_test.go
+++ b/cmd/valvering/soak_rules_test.go
@@ -18,6 +18,8 @@
 	stalledSlack        = 3 * time.Second        // a stalled client is answered or disconnected
 	readyWithin         = 10 * time.Second
 	killAfter           = 3700 * time.Millisecond // after SIGTERM: longest deadline (as 3 s) plus 0.7 s
+	lateArrival         = 700 * time.Millisecond  // after SIGTERM: SIGKILL may not meet later requests
+	killSlack           = 50 * time.Millisecond
 	maxAttempts         = 6
 	keyedWindow         = time.Second
 	ceilingRate         = 20.0                   // units a second
@@ -74,6 +76,7 @@
 // stopRecord is the end of a process after a SIGTERM.
 type stopRecord struct {
 	node        string
+	signalled   time.Time     // when SIGTERM was sent
 	took        time.Duration // from SIGTERM to the exit
 	exitCode    int
 	killed      bool // it had not exited after killAfter
@@ -101,7 +104,7 @@
 	defer o.mu.Unlock()
 	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
 	for id, r := range o.requests {
-		for _, why := range append(o.answerViolations(r), o.attemptViolations(r)...) {
+		for _, why := range slices.Concat(o.answerViolations(r), o.attemptViolations(r), o.killViolations(r)) {
 			add("%s (%s, %s, sent %s): %s", id, r.node, r.class, r.sent.Format("05.000"), why)
 		}
 	}
@@ -157,6 +160,20 @@
 	return list
 }
 
+// killViolations lists the shutdowns whose earliest SIGKILL would have met the request, although it arrived late in the
+// shutdown.
+func (o *observations) killViolations(r *requestRecord) (list []string) {
+	for _, s := range o.stops {
+		kill := s.signalled.Add(min(longestDeadline, 3*time.Second) + lateArrival + killSlack)
+		if s.node == r.node && r.outcome == answered && r.sent.After(s.signalled.Add(lateArrival+killSlack)) &&
+			r.sent.Before(s.signalled.Add(s.took)) && r.done.Sub(kill) > o.tolerance() {
+			list = append(list, fmt.Sprintf("sent %v after SIGTERM, answered %v after the earliest SIGKILL",
+				r.sent.Sub(s.signalled), r.done.Sub(kill)))
+		}
+	}
+	return list
+}
+
 // attemptViolations lists the rules that the attempts of a request break.
 func (o *observations) attemptViolations(r *requestRecord) (list []string) {
 	var mayHaveRun []attemptRecord
